--- /dev/null
+++ b/internal/connection/stream/hold.go
@@ -0,0 +1,337 @@
+package stream
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/wagtailtray/wagtailtray/internal/request/segment"
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+	"github.com/wagtailtray/wagtailtray/pkg/wire"
+)
+
+const (
+	// activeFor is the silence after which an open flow no longer counts as
+	// load. Callers pause between requests for about a second.
+	activeFor = 5 * clock.Second
+	// busyFor bounds how long a request counts as under way.
+	busyFor = 5 * clock.Second
+	// endedFor is how long a flow that has ended is remembered: its last
+	// packets may be sent again, with doubling pauses of up to 1.6 s.
+	endedFor = 10 * clock.Second
+	// confirmAfter is how long a target may take to return a packet of a flow
+	// that it does not hold. A target returns it as soon as it reads it.
+	confirmAfter = 30 * clock.Millis(1)
+	// aliveFor is how old the last sign of a target may be for its silence to
+	// mean that it took a packet.
+	aliveFor = 3 * clock.Second
+	// window is how far an acknowledgement may be ahead of the first sequence
+	// number: 64 packets of 1,200 bytes.
+	window = 76_800
+)
+
+// HolderSettings are what a Holder is told at start.
+type HolderSettings struct {
+	Name    string
+	Domain  string
+	Service string
+	// Epoch is the start of this process.
+	Epoch uint64
+	// Port is where balancers take parcels; a returned packet carries only
+	// the address.
+	Port uint16
+	// Flows bounds the flows that are remembered.
+	Flows int
+	// FlowLife is how long a flow may live.
+	FlowLife clock.Millis
+	// SilentAfter is how long the target may miss its heartbeats until it
+	// gets no new flows.
+	SilentAfter clock.Millis
+}
+
+// held is what an agent knows of one flow of its target.
+type held struct {
+	// from is the balancer that sent the flow's last packet.
+	from netip.AddrPort
+	// seq is the sequence number that the target accepted the opening with.
+	seq      uint32
+	accepted bool
+	// open tells that the caller's acknowledgement has reached the target.
+	open bool
+	// guess is when the first packet of a flow that the agent never saw was
+	// handed to the target; zero once the target has shown that it holds it.
+	guess   clock.Millis
+	ack     uint32
+	lastIn  clock.Millis
+	lastOut clock.Millis
+	opened  clock.Millis
+	busy    clock.Millis
+	ended   clock.Millis
+}
+
+func (h *held) last() clock.Millis {
+	return max(h.lastIn, h.lastOut)
+}
+
+// Holder is an agent's decisions. It belongs to one process and is not safe for
+// concurrent use.
+type Holder struct {
+	settings HolderSettings
+	flows    *simplelru.LRU[segment.Flow, *held]
+	// denied are flows that the target has returned packets of.
+	denied   *simplelru.LRU[segment.Flow, struct{}]
+	upstream upstream
+	sequence uint64
+	complete bool
+	stopping bool
+	started  clock.Millis
+	out      Outcome
+}
+
+// NewHolder returns a Holder that knows nothing of its target yet.
+func NewHolder(now clock.Millis, settings HolderSettings) *Holder {
+	h := &Holder{settings: settings, started: now}
+	h.flows, _ = simplelru.NewLRU[segment.Flow, *held](max(settings.Flows, 1), nil)
+	h.denied, _ = simplelru.NewLRU[segment.Flow, struct{}](max(settings.Flows, 1), nil)
+	return h
+}
+
+// Take returns what is to be done since the last call.
+func (h *Holder) Take() Outcome {
+	out := h.out
+	h.out = Outcome{}
+	return out
+}
+
+// Hear takes a parcel of a balancer. seg is its packet, if it carries one.
+func (h *Holder) Hear(now clock.Millis, from netip.AddrPort, p *wire.Parcel, seg *segment.Segment) {
+	switch p.Verb {
+	case wire.Verb_VERB_OPEN:
+		if seg != nil {
+			h.opening(now, from, p, seg)
+		}
+	case wire.Verb_VERB_CARRY:
+		if seg != nil {
+			h.carry(now, from, p, seg)
+		}
+	case wire.Verb_VERB_ASK:
+		h.asked(now, from, p)
+	case wire.Verb_VERB_PROBE:
+		h.probed(now, from, p)
+	}
+}
+
+// opening hands an opening to the target, or returns it: the target serves
+// another service, or takes no new flows.
+//
+// Failure: the balancers' news are late, and an opening reaches a target that
+// has said that it leaves. Symptom: a request begins at a target that is about
+// to end. The agent hears the target first, so it closes the gate whatever
+// balancers believe.
+func (h *Holder) opening(now clock.Millis, from netip.AddrPort, p *wire.Parcel, seg *segment.Segment) {
+	if p.Service != h.settings.Service {
+		h.giveBack(now, from, p.Packet, wire.Cause_CAUSE_MISADDRESSED)
+		return
+	}
+	id := seg.FromCaller()
+	f, ok := h.flows.Get(id)
+	if ok && f.ended != 0 {
+		ok = false
+	}
+	if !ok && !h.Accepting(now) {
+		h.giveBack(now, from, p.Packet, wire.Cause_CAUSE_CLOSED)
+		return
+	}
+	if !ok {
+		f = &held{opened: now}
+		h.flows.Add(id, f)
+		h.denied.Remove(id)
+	}
+	f.from, f.lastIn = from, now
+	h.deliver(from, p.Packet)
+}
+
+func (h *Holder) deliver(from netip.AddrPort, packet []byte) {
+	h.out.Deliveries = append(h.out.Deliveries, Delivery{Packet: packet, Echo: echoOf(from)})
+}
+
+// echoOf is the mark of packets that a balancer sent: its address, which is all
+// that is needed to return one, also by an agent that has restarted meanwhile.
+func echoOf(from netip.AddrPort) uint32 {
+	ip := from.Addr().As4()
+	return binary.BigEndian.Uint32(ip[:])
+}
+
+func (h *Holder) sender(echo uint32) netip.AddrPort {
+	var ip [4]byte
+	binary.BigEndian.PutUint32(ip[:], echo)
+	return netip.AddrPortFrom(netip.AddrFrom4(ip), h.settings.Port)
+}
+
+// giveBack returns a packet with a report, so that the balancer's next choice
+// knows better.
+func (h *Holder) giveBack(now clock.Millis, to netip.AddrPort, packet []byte, cause wire.Cause) {
+	h.out.send(to, &wire.Parcel{Verb: wire.Verb_VERB_RETURN, Cause: cause, Report: h.report(now, 0), Packet: packet})
+}
+
+// carry hands a packet of an open flow to the target that holds it.
+//
+// An agent that knows its target's flows returns a stranger's packet itself: a
+// flow whose packets reach other targets again and again looks broken to its
+// caller. Only one that is unsure asks the target by handing it the packet.
+func (h *Holder) carry(now clock.Millis, from netip.AddrPort, p *wire.Parcel, seg *segment.Segment) {
+	id := seg.FromCaller()
+	if p.Service != h.settings.Service {
+		h.giveBack(now, from, p.Packet, wire.Cause_CAUSE_MISADDRESSED)
+		return
+	}
+	switch h.holding(now, id, seg.Ack) {
+	case wire.Holding_HOLDING_NOT:
+		h.giveBack(now, from, p.Packet, wire.Cause_CAUSE_UNOWNED)
+		return
+	case wire.Holding_HOLDING_UNSURE:
+		if !h.flows.Contains(id) {
+			h.flows.Add(id, &held{guess: now, opened: now})
+		}
+	}
+	f, _ := h.flows.Get(id)
+	f.from, f.lastIn, f.ack = from, now, seg.Ack
+	if f.guess == 0 {
+		f.open = true
+	}
+	if seg.Size > 0 && f.busy == 0 {
+		f.busy = now
+	}
+	h.deliver(from, p.Packet)
+}
+
+// holding is what the agent knows of a flow whose caller acknowledges ack.
+func (h *Holder) holding(now clock.Millis, id segment.Flow, ack uint32) wire.Holding {
+	f, ok := h.flows.Peek(id)
+	switch {
+	case ok && f.guess != 0:
+		return wire.Holding_HOLDING_UNSURE
+	case ok && !f.open && f.accepted && ack-f.seq > window:
+		return wire.Holding_HOLDING_NOT
+	case ok:
+		return wire.Holding_HOLDING_OWNED
+	case h.denied.Contains(id), h.knowsAll(now):
+		return wire.Holding_HOLDING_NOT
+	default:
+		return wire.Holding_HOLDING_UNSURE
+	}
+}
+
+// knowsAll reports that no open flow of the target began before the agent was
+// there to see it.
+func (h *Holder) knowsAll(now clock.Millis) bool {
+	return h.complete || now.Sub(h.started) > h.settings.FlowLife || h.upstream.gone
+}
+
+func (h *Holder) asked(now clock.Millis, from netip.AddrPort, p *wire.Parcel) {
+	id, err := segment.ParseFlow(p.Flow)
+	if err != nil {
+		return
+	}
+	h.answer(from, p.Flow, h.holding(now, id, p.Ack))
+}
+
+func (h *Holder) answer(to netip.AddrPort, flow []byte, holding wire.Holding) {
+	h.out.send(to, &wire.Parcel{Verb: wire.Verb_VERB_ANSWER, Flow: flow, Holding: holding})
+}
+
+func (h *Holder) own(id segment.Flow, f *held) {
+	if f.from.IsValid() {
+		h.answer(f.from, segment.AppendFlow(nil, id), wire.Holding_HOLDING_OWNED)
+	}
+}
+
+// FromTarget takes a packet of the target: one that it sends to a caller, or a
+// caller's that it returns.
+func (h *Holder) FromTarget(now clock.Millis, seg *segment.Segment, packet []byte) {
+	h.upstream.seen = now
+	if seg.Flags.Has(segment.Returned) {
+		h.returned(now, seg, packet)
+		return
+	}
+	id := seg.FromUpstream()
+	f, ok := h.flows.Get(id)
+	if !ok {
+		f = &held{opened: now, open: true}
+		h.flows.Add(id, f)
+	}
+	f.lastOut = now
+	if f.guess != 0 {
+		f.guess, f.open = 0, true
+		h.own(id, f)
+	}
+	if seg.Flags.Has(segment.Opens) {
+		f.seq, f.accepted = seg.Seq, true
+		h.upstream.unanswered = 0
+		h.own(id, f)
+	}
+	if seg.Size > 0 {
+		f.busy = 0
+	}
+	if seg.Flags&(segment.Ends|segment.Resets) != 0 && f.ended == 0 {
+		f.ended = now
+	}
+	h.out.Answers = append(h.out.Answers, packet)
+}
+
+// returned passes a packet that the target did not take back to the balancer
+// that its mark names.
+func (h *Holder) returned(now clock.Millis, seg *segment.Segment, packet []byte) {
+	id := seg.FromCaller()
+	to := h.sender(seg.Echo)
+	if seg.Opening() {
+		if f, ok := h.flows.Peek(id); ok && !f.open {
+			h.flows.Remove(id)
+		}
+		h.giveBack(now, to, packet, wire.Cause_CAUSE_FULL)
+		return
+	}
+	h.flows.Remove(id)
+	h.denied.Add(id, struct{}{})
+	h.giveBack(now, to, packet, wire.Cause_CAUSE_UNOWNED)
+}
+
+// Tick confirms the flows whose packets the target kept, and ends what is over.
+func (h *Holder) Tick(now clock.Millis) {
+	for _, id := range h.flows.Keys() {
+		f, ok := h.flows.Peek(id)
+		if !ok {
+			continue
+		}
+		if h.over(now, f) {
+			h.flows.Remove(id)
+			continue
+		}
+		if f.guess != 0 && now.Sub(f.guess) > confirmAfter && now.Sub(h.upstream.seen) < aliveFor {
+			f.guess, f.open = 0, true
+			h.own(id, f)
+		}
+	}
+}
+
+func (h *Holder) over(now clock.Millis, f *held) bool {
+	if f.ended != 0 && now.Sub(f.last()) > endedFor {
+		return true
+	}
+	return now.Sub(f.opened) > h.settings.FlowLife && now.Sub(f.last()) > h.settings.FlowLife
+}
+
+// Load counts the flows that are open and in use, and the requests under way.
+func (h *Holder) Load(now clock.Millis) (flows, busy int) {
+	for _, f := range h.flows.Values() {
+		if f.ended != 0 || now.Sub(f.last()) > activeFor {
+			continue
+		}
+		flows++
+		if f.busy != 0 && now.Sub(f.busy) < busyFor {
+			busy++
+		}
+	}
+	return flows, busy
+}
--- /dev/null
+++ b/internal/connection/stream/steer.go
@@ -0,0 +1,419 @@
+package stream
+
+import (
+	"net/netip"
+	"slices"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/wagtailtray/wagtailtray/internal/request/segment"
+	"github.com/wagtailtray/wagtailtray/internal/version/routing"
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+	"github.com/wagtailtray/wagtailtray/pkg/wire"
+)
+
+// Settings of a Steerer.
+type Settings struct {
+	// Domain is the balancer's failure domain.
+	Domain string
+	// Flows is how many flows are remembered. Beyond it the longest unused
+	// is forgotten, and its next packet starts a search.
+	Flows int
+	// FlowLife is how long a flow may live.
+	FlowLife clock.Millis
+}
+
+// flow is what a balancer remembers of one flow.
+type flow struct {
+	// owner is the agent that took the flow, or that the opening was sent to.
+	owner   netip.AddrPort
+	service string
+	// taken tells that the agent has said so.
+	taken bool
+	// tried lists the agents that the opening was sent to; pending counts
+	// those that have not answered.
+	tried   []netip.AddrPort
+	pending int
+	last    clock.Millis
+	search  *search
+	// ack is the caller's last acknowledgement.
+	ack uint32
+}
+
+// Steerer is a balancer's decisions. It belongs to one process and is not safe
+// for concurrent use.
+type Steerer struct {
+	settings Settings
+	Targets  *Targets
+	flows    *simplelru.LRU[segment.Flow, *flow]
+	searches map[segment.Flow]*search
+	suspects map[netip.AddrPort]bool
+	table    *routing.Table
+	history  *routing.History
+	out      Outcome
+}
+
+// NewSteerer returns a Steerer that knows nothing yet.
+func NewSteerer(settings Settings) *Steerer {
+	s := &Steerer{
+		settings: settings, Targets: NewTargets(settings.Domain),
+		searches: map[segment.Flow]*search{}, suspects: map[netip.AddrPort]bool{},
+		history: routing.NewHistory(settings.FlowLife.Duration()),
+	}
+	s.flows, _ = simplelru.NewLRU[segment.Flow, *flow](max(settings.Flows, 1), nil)
+	return s
+}
+
+// Take returns what is to be done since the last call.
+func (s *Steerer) Take() Outcome {
+	out := s.out
+	s.out = Outcome{}
+	return out
+}
+
+// SetTable brings a version into force, unless a later one is. It reports
+// whether it did.
+func (s *Steerer) SetTable(now clock.Millis, t *routing.Table) bool {
+	if s.table != nil && t.Version <= s.table.Version {
+		return false
+	}
+	s.table = t
+	s.history.Note(now, t)
+	return true
+}
+
+// Table returns the version in force, or nil.
+func (s *Steerer) Table() *routing.Table {
+	return s.table
+}
+
+func (s *Steerer) version() uint64 {
+	if s.table == nil {
+		return 0
+	}
+	return s.table.Version
+}
+
+// Flows returns how many flows are remembered.
+func (s *Steerer) Flows() int {
+	return s.flows.Len()
+}
+
+// Searches returns how many searches are under way.
+func (s *Steerer) Searches() int {
+	return len(s.searches)
+}
+
+// Arrive takes a packet of a caller. The packet may be reused afterwards only
+// when the outcome was taken and sent.
+func (s *Steerer) Arrive(now clock.Millis, seg *segment.Segment, packet []byte) {
+	id := seg.FromCaller()
+	f, known := s.flows.Get(id)
+	if seg.Opening() {
+		s.open(now, id, f, packet)
+		return
+	}
+	if !known {
+		f = &flow{}
+		s.flows.Add(id, f)
+	}
+	f.last = now
+	f.ack = seg.Ack
+	switch {
+	case f.search != nil:
+		f.search.keep(packet)
+	case f.owner.IsValid():
+		s.carry(now, id, f, packet)
+	default:
+		s.begin(now, id, f, packet)
+	}
+}
+
+// carry sends a packet to the flow's owner. A target that is known to be gone
+// cannot answer any more, so its flow is searched anew: it may have been opened
+// at two targets.
+func (s *Steerer) carry(now clock.Millis, id segment.Flow, f *flow, packet []byte) {
+	if t, ok := s.Targets.Find(f.owner); !ok || t.Service != f.service {
+		f.owner = netip.AddrPort{}
+		s.begin(now, id, f, packet)
+		return
+	}
+	s.out.send(f.owner, &wire.Parcel{Verb: wire.Verb_VERB_CARRY, Service: f.service, Packet: packet})
+}
+
+// open sends a flow's opening to a target. A copy goes to the target that took
+// the first one; if none has said so yet, to another one, for the first may be
+// dead and accepting twice does no harm.
+func (s *Steerer) open(now clock.Millis, id segment.Flow, f *flow, packet []byte) {
+	if f != nil && f.taken {
+		if t, ok := s.Targets.Find(f.owner); ok && t.Service == f.service && !t.Suspected(now) {
+			f.last = now
+			s.out.send(f.owner, opening(f.service, packet))
+			return
+		}
+	}
+	service, err := s.pick(id)
+	if err != nil {
+		return
+	}
+	if f == nil {
+		f = &flow{}
+		s.flows.Add(id, f)
+	}
+	f.last = now
+	f.service = service
+	s.place(now, id, f, packet)
+}
+
+// pick chooses the flow's service. A caller at an address that nobody listens
+// at is told at once.
+func (s *Steerer) pick(id segment.Flow) (string, error) {
+	if s.table == nil {
+		s.out.note(Event{Kind: Unrouted, Flow: id, Reason: "no configuration yet"})
+		return "", routing.ErrNoListener
+	}
+	service, err := s.table.Pick(id)
+	if err != nil {
+		s.out.note(Event{Kind: Unrouted, Flow: id, Reason: "no listener", Version: s.version()})
+		s.out.Resets = append(s.out.Resets, Reset{Flow: id})
+	}
+	return service, err
+}
+
+func opening(service string, packet []byte) *wire.Parcel {
+	return &wire.Parcel{Verb: wire.Verb_VERB_OPEN, Service: service, Packet: packet}
+}
+
+// place sends an opening to the target that costs least of those not tried.
+func (s *Steerer) place(now clock.Millis, id segment.Flow, f *flow, packet []byte) {
+	t, ok := s.Targets.Choose(now, f.service, f.tried)
+	if !ok {
+		s.unplaced(now, id, f, packet)
+		return
+	}
+	kind := Opened
+	if len(f.tried) > 0 {
+		kind = Reopened
+	}
+	f.tried = append(f.tried, t.Address)
+	f.pending++
+	f.owner = t.Address
+	s.out.note(Event{
+		Kind: kind, Flow: id, Target: t.Address, Name: t.Name, Service: f.service, Age: now.Sub(t.Heard),
+		Count: len(f.tried), Version: s.version(),
+	})
+	s.out.send(t.Address, opening(f.service, packet))
+}
+
+// unplaced deals with an opening that no target is left for.
+//
+// Where each target has turned it away, the caller is told at once: nothing has
+// run, and it may come back. Where a target may still take it, the opening is
+// forgotten; its next copy comes within half a second and finds the news.
+func (s *Steerer) unplaced(now clock.Millis, id segment.Flow, f *flow, packet []byte) {
+	if f.pending > 0 && len(f.tried) > 0 {
+		s.again(now, id, f, packet)
+		return
+	}
+	refused := len(f.tried) > 0
+	reason := "no target is ready"
+	if refused {
+		reason = "every target turned it away"
+		s.out.Resets = append(s.out.Resets, Reset{Flow: id})
+	}
+	s.out.note(Event{
+		Kind: refusal(refused), Flow: id, Service: f.service, Reason: reason,
+		Count: len(f.tried), Version: s.version(),
+	})
+	s.flows.Remove(id)
+}
+
+func refusal(refused bool) Kind {
+	if refused {
+		return Refused
+	}
+	return NoTarget
+}
+
+// again sends a copy to the targets that have had one already and did not
+// answer: there is no other.
+func (s *Steerer) again(now clock.Millis, id segment.Flow, f *flow, packet []byte) {
+	for _, a := range f.tried {
+		t, ok := s.Targets.Find(a)
+		if !ok || t.Service != f.service || !t.Opens(now) {
+			continue
+		}
+		s.out.note(Event{
+			Kind: Reopened, Flow: id, Target: a, Name: t.Name, Service: f.service, Reason: "no other target",
+			Age: now.Sub(t.Heard), Count: len(f.tried), Version: s.version(),
+		})
+		s.out.send(a, opening(f.service, packet))
+	}
+}
+
+// Hear takes a parcel of an agent about flows. Packets in it are kept no longer
+// than until the outcome is taken, unless a search needs them.
+func (s *Steerer) Hear(now clock.Millis, from netip.AddrPort, p *wire.Parcel, seg *segment.Segment) {
+	if p.Report != nil {
+		s.report(now, from, p.Report)
+	}
+	switch p.Verb {
+	case wire.Verb_VERB_RETURN:
+		s.returned(now, from, p, seg)
+	case wire.Verb_VERB_ANSWER:
+		s.answered(now, from, p)
+	}
+}
+
+func (s *Steerer) report(now clock.Millis, from netip.AddrPort, r *wire.Report) {
+	c := s.Targets.Report(now, from, r)
+	switch {
+	case c.Left:
+		s.out.note(Event{Kind: TargetGone, Target: from, Name: r.Name, Service: r.Service})
+	case c.New:
+		s.out.note(Event{Kind: TargetNew, Target: from, Name: r.Name, Service: r.Service, Reason: r.Condition.String()})
+	case c.Condition || c.Reborn:
+		s.out.note(Event{Kind: TargetNew, Target: from, Name: r.Name, Service: r.Service, Reason: r.Condition.String()})
+	}
+}
+
+// returned takes back a packet that a target did not take.
+func (s *Steerer) returned(now clock.Millis, from netip.AddrPort, p *wire.Parcel, seg *segment.Segment) {
+	if seg == nil {
+		return
+	}
+	id := seg.FromCaller()
+	f, ok := s.flows.Get(id)
+	if seg.Opening() {
+		if ok {
+			s.declined(now, id, f, from, p)
+		}
+		return
+	}
+	if !ok {
+		// The process has just started; the packet was handed over by the
+		// one before it.
+		f = &flow{ack: seg.Ack}
+		s.flows.Add(id, f)
+	}
+	if f.search != nil {
+		s.denied(now, id, f, from)
+		return
+	}
+	s.out.note(Event{Kind: Unowned, Flow: id, Target: from, Service: f.service, Reason: p.Cause.String()})
+	if f.owner == from {
+		f.owner = netip.AddrPort{}
+	}
+	s.begin(now, id, f, p.Packet)
+}
+
+// declined chooses again for an opening that a target returned.
+func (s *Steerer) declined(now clock.Millis, id segment.Flow, f *flow, from netip.AddrPort, p *wire.Parcel) {
+	f.pending = max(f.pending-1, 0)
+	if !slices.Contains(f.tried, from) {
+		f.tried = append(f.tried, from)
+	}
+	s.out.note(Event{Kind: Declined, Flow: id, Target: from, Service: f.service, Reason: p.Cause.String()})
+	if f.taken || f.search != nil {
+		return
+	}
+	s.place(now, id, f, p.Packet)
+}
+
+// answered takes an agent's word about a flow.
+func (s *Steerer) answered(now clock.Millis, from netip.AddrPort, p *wire.Parcel) {
+	id, err := segment.ParseFlow(p.Flow)
+	if err != nil {
+		return
+	}
+	f, ok := s.flows.Get(id)
+	if !ok {
+		return
+	}
+	if f.search != nil {
+		s.heard(now, id, f, from, p)
+		return
+	}
+	if p.Holding != wire.Holding_HOLDING_OWNED || f.taken {
+		return
+	}
+	f.taken = true
+	f.owner = from
+	f.pending = 0
+	s.out.note(Event{Kind: Took, Flow: id, Target: from, Service: f.service, Age: now.Sub(f.last)})
+}
+
+// Tick does what is due: probes, later stages of searches, and the end of what
+// was forgotten.
+func (s *Steerer) Tick(now clock.Millis) {
+	for _, t := range s.Targets.Due(now) {
+		r := &wire.Report{Probe: t.probe}
+		if s.table != nil {
+			r.Health = s.table.Health(t.Service)
+		}
+		s.out.send(t.Address, &wire.Parcel{Verb: wire.Verb_VERB_PROBE, Report: r})
+	}
+	s.watch(now)
+	for id, x := range s.searches {
+		s.advance(now, id, x)
+	}
+	for _, t := range s.Targets.Forget(now) {
+		s.out.note(Event{Kind: TargetGone, Target: t.Address, Name: t.Name, Service: t.Service, Reason: "silent", Age: now.Sub(t.Heard)})
+	}
+}
+
+// watch notes what has become suspected, or is no longer.
+func (s *Steerer) watch(now clock.Millis) {
+	for a, t := range s.Targets.known {
+		suspected := t.Suspected(now) && t.Heard != 0
+		if suspected == s.suspects[a] {
+			continue
+		}
+		kind := TargetBack
+		if suspected {
+			kind = TargetLost
+		}
+		s.suspects[a] = suspected
+		s.out.note(Event{Kind: kind, Target: a, Name: t.Name, Service: t.Service, Age: now.Sub(t.Heard)})
+	}
+	for a := range s.suspects {
+		if _, ok := s.Targets.known[a]; !ok {
+			delete(s.suspects, a)
+		}
+	}
+}
+
+// Owners returns the flows that this balancer knows the owners of, for the one
+// that takes its place.
+func (s *Steerer) Owners(now clock.Millis) []*wire.Owner {
+	var all []*wire.Owner
+	for _, id := range s.flows.Keys() {
+		f, ok := s.flows.Peek(id)
+		if !ok || !f.taken || now.Sub(f.last) > s.settings.FlowLife {
+			continue
+		}
+		all = append(all, &wire.Owner{
+			Flow: segment.AppendFlow(nil, id), Address: segment.AppendAddress(nil, f.owner), Service: f.service,
+		})
+	}
+	return all
+}
+
+// Inherit remembers owners that another balancer knew. What this one has found
+// out itself stays.
+func (s *Steerer) Inherit(now clock.Millis, owners []*wire.Owner) int {
+	taken := 0
+	for _, o := range owners {
+		id, err := segment.ParseFlow(o.Flow)
+		if err != nil {
+			continue
+		}
+		owner, err := segment.ParseAddress(o.Address)
+		if err != nil || s.flows.Contains(id) {
+			continue
+		}
+		s.flows.Add(id, &flow{owner: owner, service: o.Service, taken: true, last: now})
+		taken++
+	}
+	return taken
+}
--- /dev/null
+++ b/internal/connection/stream/target.go
@@ -0,0 +1,247 @@
+package stream
+
+import (
+	"net/netip"
+	"slices"
+
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+	"github.com/wagtailtray/wagtailtray/pkg/wire"
+)
+
+const (
+	// nearProbe and farProbe are how often targets in the balancer's own
+	// failure domain and in others are probed. Load changes within a mean
+	// request, some 30 ms, but a digest that is 200 ms old is corrected by
+	// what was placed since; traffic between domains is paid for.
+	nearProbe = 200 * clock.Millis(1)
+	farProbe  = clock.Second
+	// againProbe is the pause before a probe without answer is repeated, some
+	// round trips between failure domains.
+	againProbe = 100 * clock.Millis(1)
+	// lostProbe is the pause between probes of a suspected target.
+	lostProbe = 500 * clock.Millis(1)
+	// suspectAfter is how long the first unanswered probe may be old. Four
+	// probes are lost by then: at 3 % loss one suspicion in a million is false.
+	suspectAfter = 350 * clock.Millis(1)
+	// forgetAfter is the silence after which a target is no longer known: a
+	// flow lives no longer than a minute.
+	forgetAfter = 70 * clock.Second
+	// tombFor is how long a target that left is not taken back on hearsay.
+	tombFor = 60 * clock.Second
+)
+
+// Target is one target as a balancer knows it.
+type Target struct {
+	// Address is where its agent takes parcels.
+	Address netip.AddrPort
+	Name    string
+	Domain  string
+	Service string
+	// Epoch is the start of the agent's process, Born that of the target.
+	Epoch uint64
+	Born  uint64
+	// Sequence counts the agent's reports.
+	Sequence  uint64
+	Condition wire.Condition
+	Slots     int
+	Flows     int
+	Busy      int
+	// ColdUntil is when the target is as fast as it will be.
+	ColdUntil clock.Millis
+	Complete  bool
+	// Restarting tells that the agent announced its stop.
+	Restarting bool
+	// Heard is when the last report arrived; zero if none did.
+	Heard clock.Millis
+
+	probed  clock.Millis
+	waiting clock.Millis
+	probe   uint64
+	placed  int
+}
+
+// Suspected reports that the target's agent leaves probes unanswered, or was
+// never heard.
+func (t *Target) Suspected(now clock.Millis) bool {
+	return t.Heard == 0 || t.waiting != 0 && now.Sub(t.waiting) > suspectAfter
+}
+
+// Opens reports whether the target may be chosen for new flows.
+func (t *Target) Opens(now clock.Millis) bool {
+	return t.Condition == wire.Condition_CONDITION_READY && !t.Restarting && !t.Suspected(now)
+}
+
+// Targets is all targets that a balancer knows, by their agents' addresses.
+type Targets struct {
+	domain string
+	known  map[netip.AddrPort]*Target
+	left   map[netip.AddrPort]clock.Millis
+	number uint64
+}
+
+// NewTargets returns an empty set for a balancer in a failure domain.
+func NewTargets(domain string) *Targets {
+	return &Targets{domain: domain, known: map[netip.AddrPort]*Target{}, left: map[netip.AddrPort]clock.Millis{}}
+}
+
+// Len returns the number of known targets.
+func (ts *Targets) Len() int {
+	return len(ts.known)
+}
+
+// Find returns the target behind an agent's address.
+func (ts *Targets) Find(a netip.AddrPort) (*Target, bool) {
+	t, ok := ts.known[a]
+	return t, ok
+}
+
+// Sorted returns the targets in the order of their addresses.
+func (ts *Targets) Sorted() []*Target {
+	all := make([]*Target, 0, len(ts.known))
+	for _, t := range ts.known {
+		all = append(all, t)
+	}
+	slices.SortFunc(all, func(a, b *Target) int { return a.Address.Compare(b.Address) })
+	return all
+}
+
+// Of returns the targets of a service in the order of their addresses.
+func (ts *Targets) Of(service string) []*Target {
+	return slices.DeleteFunc(ts.Sorted(), func(t *Target) bool { return t.Service != service })
+}
+
+// Learn adds a target on hearsay. It is probed before it is used. A target that
+// left a short while ago is not taken back: the teller may not know yet.
+func (ts *Targets) Learn(now clock.Millis, a netip.AddrPort, name, domain, service string) bool {
+	if _, ok := ts.known[a]; ok {
+		return false
+	}
+	if at, ok := ts.left[a]; ok && now.Sub(at) < tombFor {
+		return false
+	}
+	ts.known[a] = &Target{Address: a, Name: name, Domain: domain, Service: service}
+	return true
+}
+
+// Change tells what a report changed.
+type Change struct {
+	// New, Reborn and Left tell that the target is new, has started anew, or
+	// is gone.
+	New, Reborn, Left bool
+	// Condition tells that its condition is another one.
+	Condition bool
+	// Found tells that a suspicion has ended.
+	Found bool
+}
+
+// Any reports whether anything changed that is worth telling.
+func (c Change) Any() bool {
+	return c != Change{}
+}
+
+// Report takes what an agent says of its target. A report that was overtaken by
+// a later one changes nothing.
+func (ts *Targets) Report(now clock.Millis, from netip.AddrPort, r *wire.Report) Change {
+	t, ok := ts.known[from]
+	if ok && t.Heard != 0 && overtaken(t, r) {
+		return Change{}
+	}
+	c := Change{New: !ok || t.Heard == 0}
+	if !ok {
+		t = &Target{Address: from}
+		ts.known[from] = t
+		delete(ts.left, from)
+	}
+	c.Found = !c.New && t.Suspected(now)
+	c.Reborn = !c.New && t.Born != r.Born && r.Born != 0 && t.Born != 0
+	c.Condition = t.Condition != r.Condition
+	t.take(now, r)
+	if r.Condition == wire.Condition_CONDITION_GONE {
+		c.Left = true
+		delete(ts.known, from)
+		ts.left[from] = now
+	}
+	return c
+}
+
+// overtaken reports that a later report of the same process, or one of a later
+// process, was heard. An earlier process of the same agent has an older epoch;
+// clocks of VMs step, so that counts only while the later one still answers.
+func overtaken(t *Target, r *wire.Report) bool {
+	if r.Epoch == t.Epoch {
+		return r.Sequence <= t.Sequence
+	}
+	return r.Probe == 0 && r.Epoch < t.Epoch && t.waiting == 0
+}
+
+func (t *Target) take(now clock.Millis, r *wire.Report) {
+	t.Name, t.Domain, t.Service = r.Name, r.Domain, r.Service
+	t.Epoch, t.Sequence, t.Born = r.Epoch, r.Sequence, r.Born
+	t.Condition = r.Condition
+	t.Slots, t.Flows, t.Busy = int(r.Slots), int(r.Flows), int(r.Busy)
+	t.ColdUntil = now + clock.Millis(r.Cold)
+	t.Complete, t.Restarting = r.Complete, r.Restarting
+	t.Heard = now
+	t.placed = 0
+	t.waiting = 0
+}
+
+// Due returns the targets to probe now and notes that they are.
+func (ts *Targets) Due(now clock.Millis) []*Target {
+	var due []*Target
+	for _, t := range ts.known {
+		if now.Sub(t.probed) < ts.pause(now, t) {
+			continue
+		}
+		t.probed = now
+		if t.waiting == 0 {
+			t.waiting = now
+		}
+		ts.number++
+		t.probe = ts.number
+		due = append(due, t)
+	}
+	return due
+}
+
+func (ts *Targets) pause(now clock.Millis, t *Target) clock.Millis {
+	switch {
+	case t.waiting != 0 && now.Sub(t.waiting) > suspectAfter:
+		return lostProbe
+	case t.waiting != 0:
+		return againProbe
+	case t.Domain == ts.domain:
+		return nearProbe
+	default:
+		return farProbe
+	}
+}
+
+// Forget removes the targets that were silent for longer than a flow lives, and
+// old notes of targets that left.
+func (ts *Targets) Forget(now clock.Millis) []*Target {
+	var gone []*Target
+	for a, t := range ts.known {
+		silent := t.waiting != 0 && now.Sub(t.waiting) > forgetAfter
+		if silent {
+			delete(ts.known, a)
+			gone = append(gone, t)
+		}
+	}
+	for a, at := range ts.left {
+		if now.Sub(at) > tombFor {
+			delete(ts.left, a)
+		}
+	}
+	return gone
+}
+
+// Answering returns how many targets answer probes, and how many there are.
+func (ts *Targets) Answering(now clock.Millis) (answering, all int) {
+	for _, t := range ts.known {
+		if !t.Suspected(now) {
+			answering++
+		}
+	}
+	return answering, len(ts.known)
+}
--- /dev/null
+++ b/internal/connection/stream/upstream.go
@@ -0,0 +1,183 @@
+package stream
+
+import (
+	"net/netip"
+
+	"github.com/wagtailtray/wagtailtray/internal/request/segment"
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+	"github.com/wagtailtray/wagtailtray/pkg/wire"
+)
+
+// freshFlow is how young a flow may be to belong to a target that started
+// shortly before its first heartbeat.
+const freshFlow = 4 * clock.Second
+
+// Beat is what a target says of itself in one heartbeat.
+type Beat struct {
+	Service string
+	// Born is the target's start, and Sequence counts its heartbeats.
+	Born     uint64
+	Sequence uint64
+	Draining bool
+	Slots    int
+	// Cold is how much longer the target is slow after its start.
+	Cold clock.Millis
+}
+
+// upstream is what an agent knows of its target.
+type upstream struct {
+	known     bool
+	born      uint64
+	sequence  uint64
+	draining  bool
+	gone      bool
+	slots     int
+	coldUntil clock.Millis
+	// beat is when the last heartbeat came, and seen the last sign of life.
+	beat clock.Millis
+	seen clock.Millis
+	// unanswered counts openings without an answer since the last one.
+	unanswered int
+}
+
+// Beat takes a heartbeat of the target. It is to be acknowledged after this: the
+// target goes by the acknowledgement when it leaves.
+//
+// A target that started anew has none of the flows of before. Their callers are
+// told at once, so that they come back instead of waiting.
+func (h *Holder) Beat(now clock.Millis, b Beat) {
+	u := &h.upstream
+	if u.late(now, b, h.settings.SilentAfter) {
+		return
+	}
+	before := h.condition(now)
+	switch {
+	case !u.known:
+		// With its first heartbeat the target has had no flows yet: an
+		// earlier process of the agent opens none before it hears the target.
+		h.complete = b.Sequence <= 1
+	case b.Born != u.born:
+		h.resetOlder(now, freshFlow, "the target started anew")
+		h.complete = true
+		*u = upstream{}
+	}
+	u.known, u.gone = true, false
+	u.born, u.sequence, u.draining = b.Born, b.Sequence, b.Draining
+	u.slots, u.coldUntil = b.Slots, now+b.Cold
+	u.beat, u.seen = now, now
+	if after := h.condition(now); after != before {
+		h.out.note(Event{Kind: Upstream, Reason: after.String(), Service: h.settings.Service, Count: int(b.Sequence)})
+	}
+}
+
+// late reports a heartbeat that was overtaken. The start of a target orders its
+// incarnations unless the VM's clock was set back between them: then the later
+// one seems older, but the one that it follows is silent.
+func (u *upstream) late(now clock.Millis, b Beat, silent clock.Millis) bool {
+	if !u.known {
+		return false
+	}
+	if b.Born == u.born {
+		return b.Sequence <= u.sequence
+	}
+	return b.Born < u.born && now.Sub(u.beat) < silent
+}
+
+// Leave notes that the target has said that it ends. Its flows end with it.
+func (h *Holder) Leave(now clock.Millis) {
+	h.upstream.gone = true
+	h.out.note(Event{Kind: Upstream, Reason: "left", Service: h.settings.Service, Age: now.Sub(h.upstream.beat)})
+}
+
+// Stop tells the callers of flows whose target has ended. It must only be called
+// once the process ends: where the target has left, it has ended before its
+// agent is told to.
+func (h *Holder) Stop(now clock.Millis) {
+	h.stopping = true
+	if h.upstream.gone {
+		h.resetOlder(now, 0, "the target has ended")
+	}
+}
+
+// Gone reports whether the target has left.
+func (h *Holder) Gone() bool {
+	return h.upstream.gone
+}
+
+// resetOlder ends the flows that are at least that old at their callers.
+func (h *Holder) resetOlder(now, age clock.Millis, reason string) {
+	ended := 0
+	for _, id := range h.flows.Keys() {
+		f, ok := h.flows.Peek(id)
+		if !ok || now.Sub(f.opened) < age {
+			continue
+		}
+		h.flows.Remove(id)
+		h.denied.Add(id, struct{}{})
+		if f.ended == 0 && f.open {
+			h.out.Resets = append(h.out.Resets, Reset{Flow: id, Seq: f.ack})
+			ended++
+		}
+	}
+	h.out.note(Event{Kind: Ended, Service: h.settings.Service, Reason: reason, Count: ended})
+}
+
+// Accepting reports whether the target takes new flows.
+func (h *Holder) Accepting(now clock.Millis) bool {
+	return h.condition(now) == wire.Condition_CONDITION_READY
+}
+
+func (h *Holder) condition(now clock.Millis) wire.Condition {
+	u := &h.upstream
+	switch {
+	case u.gone:
+		return wire.Condition_CONDITION_GONE
+	case !u.known || now.Sub(u.beat) > h.settings.SilentAfter:
+		return wire.Condition_CONDITION_UNKNOWN
+	case u.draining:
+		return wire.Condition_CONDITION_DRAINING
+	default:
+		return wire.Condition_CONDITION_READY
+	}
+}
+
+// report is the target's state as balancers want it.
+func (h *Holder) report(now clock.Millis, probe uint64) *wire.Report {
+	h.sequence++
+	flows, busy := h.Load(now)
+	u := &h.upstream
+	return &wire.Report{
+		Name: h.settings.Name, Domain: h.settings.Domain, Service: h.settings.Service,
+		Epoch: h.settings.Epoch, Sequence: h.sequence, Born: u.born, Condition: h.condition(now),
+		Slots: uint32(u.slots), Flows: uint32(flows), Busy: uint32(busy),
+		Cold: uint32(max(u.coldUntil.Sub(now), 0)), Complete: h.knowsAll(now), Restarting: h.stopping, Probe: probe,
+	}
+}
+
+func (h *Holder) probed(now clock.Millis, from netip.AddrPort, p *wire.Parcel) {
+	if p.Report == nil {
+		return
+	}
+	h.out.send(from, &wire.Parcel{Verb: wire.Verb_VERB_REPORT, Report: h.report(now, p.Report.Probe)})
+}
+
+// Tell reports to the balancers without being asked.
+func (h *Holder) Tell(now clock.Millis, balancers []netip.AddrPort) {
+	if len(balancers) == 0 {
+		return
+	}
+	p := &wire.Parcel{Verb: wire.Verb_VERB_REPORT, Report: h.report(now, 0)}
+	for _, b := range balancers {
+		h.out.send(b, p)
+	}
+}
+
+// Flows returns how many flows are remembered.
+func (h *Holder) Flows() int {
+	return h.flows.Len()
+}
+
+// Knows reports whether the flow is remembered, for tests and traces.
+func (h *Holder) Knows(id segment.Flow) bool {
+	return h.flows.Contains(id)
+}
--- /dev/null
+++ b/internal/process/streamagent/agent.go
@@ -0,0 +1,369 @@
+// Package streamagent is the process beside a target whose flows are
+// connections. It hands packets to the target and the target's packets to the
+// callers.
+//
+// # The model
+//
+// Decisions are a stream.Holder's. This package has the sockets: one that takes
+// parcels of balancers, and one through which the target sends everything.
+// Packets for callers leave the VM straight away; they need no balancer.
+//
+// Lock order: Agent.mu only. It is held while a packet is decided about and
+// sent, which are some microseconds.
+//
+// # Usage
+//
+//	a, err := streamagent.Start(settings, deps)
+//	a.Beat(beat) // before the heartbeat is acknowledged
+//	a.Stop()
+package streamagent
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"github.com/zeebo/errs"
+
+	"github.com/wagtailtray/wagtailtray/internal/connection/stream"
+	"github.com/wagtailtray/wagtailtray/internal/process/decisions"
+	"github.com/wagtailtray/wagtailtray/internal/process/parcels"
+	"github.com/wagtailtray/wagtailtray/internal/process/tasks"
+	"github.com/wagtailtray/wagtailtray/internal/request/segment"
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+	"github.com/wagtailtray/wagtailtray/pkg/wire"
+)
+
+const (
+	// tick is the pause between two looks at what is due: the time that a
+	// target has to return a packet is of this order.
+	tick = 50 * time.Millisecond
+	// tellEvery is how often balancers that do not probe this target are told
+	// that it is there.
+	tellEvery = clock.Second
+	// knownFor is how long a balancer that was heard is told of changes.
+	knownFor = 60 * clock.Second
+	// findEvery is how often the directory is asked for balancers while none
+	// probes this target.
+	findEvery = 5 * clock.Second
+)
+
+// Finder finds balancers to report to.
+type Finder interface {
+	Balancers(ctx context.Context) ([]netip.AddrPort, error)
+}
+
+// Settings are what an agent is told at start.
+type Settings struct {
+	Name    string
+	Domain  string
+	Service string
+	// Parcels is where balancers reach the agent; all balancers use the same
+	// port for theirs.
+	Parcels netip.AddrPort
+	// Outbound is where the target sends its packets, and Target where it
+	// takes them.
+	Outbound netip.AddrPort
+	Target   netip.AddrPort
+	// CallerPort is the port at which callers take packets.
+	CallerPort uint16
+	FlowLife   clock.Millis
+	// Heartbeat is the pause between two heartbeats of the target.
+	Heartbeat clock.Millis
+	// Seeds are balancers to report to at first.
+	Seeds []netip.AddrPort
+}
+
+// Deps are what an agent works with.
+type Deps struct {
+	Codec  segment.Codec
+	Finder Finder
+	Clock  clock.Clock
+	Log    zerolog.Logger
+	Scope  tally.Scope
+}
+
+// mostFlows bounds the flows that an agent remembers: a target holds a few
+// thousand, and flows that have ended are kept for some seconds.
+const mostFlows = 32768
+
+// Agent is one agent.
+type Agent struct {
+	settings Settings
+	deps     Deps
+	parcels  *parcels.Socket
+	outbound *net.UDPConn
+
+	mu        sync.Mutex
+	holder    *stream.Holder
+	record    *decisions.Recorder
+	balancers map[netip.AddrPort]*balancer
+	probed    clock.Millis
+
+	malformed tally.Counter
+	unsent    tally.Counter
+	cancel    context.CancelFunc
+	parts     tasks.Group
+}
+
+// balancer is a balancer that the agent reports to.
+type balancer struct {
+	heard clock.Millis
+	told  clock.Millis
+}
+
+// Start opens the sockets and begins to serve.
+func Start(settings Settings, deps Deps) (*Agent, error) {
+	now := deps.Clock.Now()
+	a := &Agent{
+		settings: settings, deps: deps, balancers: map[netip.AddrPort]*balancer{},
+		record:    decisions.NewRecorder(deps.Log, deps.Scope),
+		malformed: deps.Scope.Counter("malformed"), unsent: deps.Scope.Counter("unsent"),
+	}
+	a.holder = stream.NewHolder(now, stream.HolderSettings{
+		Name: settings.Name, Domain: settings.Domain, Service: settings.Service,
+		Epoch: uint64(time.Now().UnixMilli()), Port: settings.Parcels.Port(), Flows: mostFlows,
+		FlowLife: settings.FlowLife, SilentAfter: 3 * settings.Heartbeat,
+	})
+	a.SetSeeds(settings.Seeds)
+	var err error
+	if a.parcels, err = parcels.Listen(settings.Parcels); err != nil {
+		return nil, err
+	}
+	if a.outbound, err = parcels.ListenUDP(settings.Outbound); err != nil {
+		return nil, errs.Combine(err, a.parcels.Close())
+	}
+	a.parcels.Malformed = func(netip.AddrPort) { a.malformed.Inc(1) }
+	ctx, cancel := context.WithCancel(context.Background())
+	a.cancel = cancel
+	a.parts.Go(func() { a.parcels.Serve(a.hear) })
+	a.parts.Go(a.serveTarget)
+	a.parts.Go(func() { a.ticks(ctx) })
+	a.parts.Go(func() { a.finds(ctx) })
+	deps.Log.Info().Str("event", "start").Str("service", settings.Service).Str("domain", settings.Domain).
+		Stringer("parcels", settings.Parcels).Int("seeds", len(settings.Seeds)).Msg("agent started")
+	return a, nil
+}
+
+// SetSeeds adds balancers to report to.
+func (a *Agent) SetSeeds(seeds []netip.AddrPort) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.deps.Clock.Now()
+	for _, s := range seeds {
+		if a.balancers[s] == nil {
+			a.balancers[s] = &balancer{heard: now}
+		}
+	}
+}
+
+// hear takes a parcel of a balancer.
+func (a *Agent) hear(from netip.AddrPort, p *wire.Parcel) {
+	var seg *segment.Segment
+	if len(p.Packet) > 0 {
+		s, err := a.deps.Codec.Decode(p.Packet)
+		if err != nil {
+			a.malformed.Inc(1)
+			return
+		}
+		seg = &s
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.deps.Clock.Now()
+	b := a.balancers[from]
+	if b == nil {
+		b = &balancer{}
+		a.balancers[from] = b
+	}
+	b.heard = now
+	if p.Verb == wire.Verb_VERB_PROBE {
+		b.told, a.probed = now, now
+	}
+	a.holder.Hear(now, from, p, seg)
+	a.flush()
+}
+
+// serveTarget takes the packets of the target.
+func (a *Agent) serveTarget() {
+	in := make([]byte, segment.MaxPacket)
+	parcels.Receive(a.outbound, in, func(_ netip.AddrPort, packet []byte) {
+		seg, err := a.deps.Codec.Decode(packet)
+		if err != nil {
+			a.malformed.Inc(1)
+			return
+		}
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.holder.FromTarget(a.deps.Clock.Now(), &seg, packet)
+		a.flush()
+	})
+}
+
+// flush does what was decided. The lock is held: packets of one flow stay in
+// order.
+func (a *Agent) flush() {
+	out := a.holder.Take()
+	for _, d := range out.Deliveries {
+		a.deps.Codec.Mark(d.Packet, d.Echo)
+		a.write(d.Packet, a.settings.Target)
+	}
+	for _, packet := range out.Answers {
+		a.answer(packet)
+	}
+	for _, r := range out.Resets {
+		a.write(a.deps.Codec.Reset(r.Flow, r.Seq), a.caller(r.Flow.Caller.Addr()))
+	}
+	for _, s := range out.Sends {
+		if s.Parcel.Verb == wire.Verb_VERB_RETURN {
+			a.deps.Codec.Mark(s.Parcel.Packet, 0)
+		}
+		if err := a.parcels.Send(s.To, s.Parcel); err != nil {
+			a.unsent.Inc(1)
+		}
+	}
+	a.record.Record(out.Events)
+}
+
+func (a *Agent) answer(packet []byte) {
+	seg, err := a.deps.Codec.Decode(packet)
+	if err != nil {
+		a.malformed.Inc(1)
+		return
+	}
+	a.write(packet, a.caller(seg.Destination.Addr()))
+}
+
+func (a *Agent) caller(ip netip.Addr) netip.AddrPort {
+	return netip.AddrPortFrom(ip, a.settings.CallerPort)
+}
+
+func (a *Agent) write(packet []byte, to netip.AddrPort) {
+	if _, err := a.outbound.WriteToUDPAddrPort(packet, to); err != nil {
+		a.unsent.Inc(1)
+	}
+}
+
+// Beat takes a heartbeat. What it changes is told to the balancers; the gate for
+// new flows is closed before it returns.
+func (a *Agent) Beat(b stream.Beat) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if b.Service != a.settings.Service {
+		return errs.New("streamagent: heartbeat of service %q, not %q", b.Service, a.settings.Service)
+	}
+	now := a.deps.Clock.Now()
+	before := a.holder.Accepting(now)
+	a.holder.Beat(now, b)
+	if a.holder.Accepting(now) != before {
+		a.tell(now, true)
+	}
+	a.flush()
+	return nil
+}
+
+// Leave notes that the target ends.
+func (a *Agent) Leave() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.deps.Clock.Now()
+	a.holder.Leave(now)
+	a.tell(now, true)
+	a.flush()
+}
+
+// tell reports to all balancers, or to those that have not probed for a while.
+func (a *Agent) tell(now clock.Millis, all bool) {
+	var to []netip.AddrPort
+	for address, b := range a.balancers {
+		if now.Sub(b.heard) > knownFor && len(a.balancers) > 1 {
+			delete(a.balancers, address)
+			continue
+		}
+		if all || now.Sub(b.told) > tellEvery {
+			b.told = now
+			to = append(to, address)
+		}
+	}
+	slices.SortFunc(to, netip.AddrPort.Compare)
+	a.holder.Tell(now, to)
+}
+
+func (a *Agent) ticks(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		a.mu.Lock()
+		now := a.deps.Clock.Now()
+		a.holder.Tick(now)
+		a.tell(now, false)
+		a.flush()
+		a.mu.Unlock()
+	}
+}
+
+// finds looks for balancers while none probes this target.
+func (a *Agent) finds(ctx context.Context) {
+	pause := clock.Second
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause.Duration()):
+		}
+		pause = clock.Second
+		if a.lonely() {
+			a.find(ctx)
+			pause = findEvery
+		}
+	}
+}
+
+// lonely reports that no balancer probes this target.
+func (a *Agent) lonely() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.deps.Clock.Now().Sub(a.probed) > 2*clock.Second
+}
+
+func (a *Agent) find(ctx context.Context) {
+	found, err := a.deps.Finder.Balancers(ctx)
+	if err != nil {
+		a.deps.Log.Warn().Str("event", "nodirectory").Err(err).Msg("balancers cannot be looked up")
+		return
+	}
+	a.SetSeeds(found)
+}
+
+// Ready says why the agent is not ready, or nothing.
+func (a *Agent) Ready() string {
+	return ""
+}
+
+// Stop ends the agent. Balancers are told; the callers of a target that has
+// ended are told as well.
+func (a *Agent) Stop() {
+	a.mu.Lock()
+	now := a.deps.Clock.Now()
+	a.holder.Stop(now)
+	a.tell(now, true)
+	a.flush()
+	a.mu.Unlock()
+	a.deps.Log.Info().Str("event", "stop").Bool("left", a.holder.Gone()).Msg("agent stopped")
+	a.cancel()
+	err := errs.Combine(a.parcels.Close(), errs.Wrap(a.outbound.Close()))
+	if err != nil {
+		a.deps.Log.Warn().Str("event", "stop").Err(err).Msg("sockets did not close")
+	}
+	a.parts.Wait()
+}
--- /dev/null
+++ b/internal/process/streambalancer/balancer.go
@@ -0,0 +1,312 @@
+// Package streambalancer is the process that takes callers' packets of
+// connections from the fabric and brings them to the targets' agents.
+//
+// # The model
+//
+// Decisions about packets are a stream.Steerer's, those about other balancers
+// are in Peers. This package has the sockets and the clock:
+//
+//   - the edge takes callers' packets;
+//   - the parcel socket speaks to agents and other balancers;
+//   - a listener at the same port gives the routing table to other balancers;
+//   - the configuration is watched in the platform by one balancer of each
+//     failure domain, and told to the others.
+//
+// Life spans: a packet's buffer lives until it is sent on; what is remembered of
+// a flow is soft, and losing it costs a search; the routing table lives until
+// the next version; the rest lives as long as the process.
+//
+// Lock order: Balancer.mu only. It is held while a packet is decided about and
+// sent, which are some microseconds, and never while the platform or a peer is
+// called.
+//
+// # Usage
+//
+//	b, err := streambalancer.Start(settings, deps)
+//	...
+//	b.Stop() // planned: not ready at once, serves on, then ends
+package streambalancer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"github.com/zeebo/errs"
+
+	"github.com/wagtailtray/wagtailtray/internal/connection/stream"
+	"github.com/wagtailtray/wagtailtray/internal/process/decisions"
+	"github.com/wagtailtray/wagtailtray/internal/process/directory"
+	"github.com/wagtailtray/wagtailtray/internal/process/parcels"
+	"github.com/wagtailtray/wagtailtray/internal/process/tasks"
+	"github.com/wagtailtray/wagtailtray/internal/request/segment"
+	"github.com/wagtailtray/wagtailtray/internal/version/routing"
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+	"github.com/wagtailtray/wagtailtray/pkg/wire"
+)
+
+const (
+	// tick is the pause between two looks at what is due, and searchTick while
+	// a search is under way, whose first stage lasts 15 ms.
+	tick       = 50 * time.Millisecond
+	searchTick = 10 * time.Millisecond
+	// linger is how long a stopping balancer serves on: the fabric looks twice
+	// a second and takes two misses, and packets are still on their way then.
+	linger = 1600 * time.Millisecond
+	// mostFlows bounds the flows that are remembered.
+	mostFlows = 262144
+)
+
+// Source reads the routing table from where operators keep it.
+type Source interface {
+	// Read returns the present version.
+	Read(ctx context.Context) (*routing.Table, error)
+	// Wait returns the next version after a revision. It returns nil without
+	// an error where none came within the source's own patience.
+	Wait(ctx context.Context, revision uint64) (*routing.Table, error)
+}
+
+// Settings are what a balancer is told at start.
+type Settings struct {
+	Name   string
+	Domain string
+	// Edge takes callers' packets.
+	Edge netip.AddrPort
+	// Parcels is where other processes reach this one, over UDP and TCP.
+	Parcels netip.AddrPort
+	// FlowLife is how long a flow may live.
+	FlowLife clock.Millis
+	// Seeds are balancers to join through.
+	Seeds []netip.AddrPort
+}
+
+// Deps are what a balancer works with.
+type Deps struct {
+	Codec     segment.Codec
+	Source    Source
+	Directory *directory.Directory
+	Clock     clock.Clock
+	Log       zerolog.Logger
+	Scope     tally.Scope
+}
+
+// Balancer is one balancer.
+type Balancer struct {
+	settings Settings
+	deps     Deps
+	edge     *net.UDPConn
+	parcels  *parcels.Socket
+	calls    net.Listener
+
+	mu      sync.Mutex
+	steerer *stream.Steerer
+	peers   *Peers
+	record  *decisions.Recorder
+	leaving bool
+	// fetching is the version that is being fetched from a peer.
+	fetching uint64
+	// watching tells that the last call of the watch was answered.
+	watching bool
+
+	malformed tally.Counter
+	unsent    tally.Counter
+	forwarded tally.Counter
+	// updated wakes the loop that reads the platform.
+	updated chan struct{}
+	cancel  context.CancelFunc
+	parts   tasks.Group
+}
+
+// Start opens the sockets, joins the others and begins to serve.
+func Start(settings Settings, deps Deps) (*Balancer, error) {
+	b := &Balancer{
+		settings: settings, deps: deps,
+		steerer: stream.NewSteerer(stream.Settings{
+			Domain: settings.Domain, Flows: mostFlows, FlowLife: settings.FlowLife,
+		}),
+		record:    decisions.NewRecorder(deps.Log, deps.Scope),
+		malformed: deps.Scope.Counter("malformed"), unsent: deps.Scope.Counter("unsent"),
+		forwarded: deps.Scope.Counter("packets"), updated: make(chan struct{}, 1),
+	}
+	b.peers = NewPeers(deps.Clock.Now(), Peer{
+		Address: settings.Parcels, Name: settings.Name, Domain: settings.Domain,
+		Epoch: uint64(time.Now().UnixMilli()),
+	}, settings.Seeds)
+	if err := b.listen(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	b.cancel = cancel
+	b.parts.Go(b.serveEdge)
+	b.parts.Go(func() { b.parcels.Serve(b.hear) })
+	b.parts.Go(func() { b.serveCalls(ctx) })
+	b.parts.Go(func() { b.ticks(ctx) })
+	b.parts.Go(func() { b.configure(ctx) })
+	b.parts.Go(func() { b.register(ctx) })
+	deps.Log.Info().Str("event", "start").Str("domain", settings.Domain).Stringer("edge", settings.Edge).
+		Stringer("parcels", settings.Parcels).Int("seeds", len(settings.Seeds)).Msg("balancer started")
+	return b, nil
+}
+
+func (b *Balancer) listen() error {
+	var err error
+	if b.edge, err = parcels.ListenUDP(b.settings.Edge); err != nil {
+		return err
+	}
+	if b.parcels, err = parcels.Listen(b.settings.Parcels); err != nil {
+		return errs.Combine(err, b.edge.Close())
+	}
+	b.parcels.Malformed = func(netip.AddrPort) { b.malformed.Inc(1) }
+	if b.calls, err = net.Listen("tcp4", b.settings.Parcels.String()); err != nil {
+		return errs.Combine(errs.Wrap(err), b.edge.Close(), b.parcels.Close())
+	}
+	return nil
+}
+
+// SetSeeds adds balancers to join through.
+func (b *Balancer) SetSeeds(seeds []netip.AddrPort) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.peers.Seed(seeds)
+}
+
+// serveEdge takes callers' packets.
+func (b *Balancer) serveEdge() {
+	in := make([]byte, segment.MaxPacket)
+	parcels.Receive(b.edge, in, func(_ netip.AddrPort, packet []byte) {
+		seg, err := b.deps.Codec.Decode(packet)
+		if err != nil {
+			b.malformed.Inc(1)
+			return
+		}
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.steerer.Arrive(b.deps.Clock.Now(), &seg, packet)
+		b.flush()
+	})
+}
+
+// hear takes a parcel of an agent or a balancer.
+func (b *Balancer) hear(from netip.AddrPort, p *wire.Parcel) {
+	var seg *segment.Segment
+	if len(p.Packet) > 0 {
+		s, err := b.deps.Codec.Decode(p.Packet)
+		if err != nil {
+			b.malformed.Inc(1)
+			return
+		}
+		seg = &s
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.deps.Clock.Now()
+	switch p.Verb {
+	case wire.Verb_VERB_NEWS:
+		b.takeNews(now, from, p.News)
+	case wire.Verb_VERB_OWNERS:
+		if p.Owners != nil {
+			n := b.steerer.Inherit(now, p.Owners.Owners)
+			b.deps.Log.Info().Str("event", "inherited").Stringer("from", from).Int("flows", n).Send()
+		}
+	default:
+		b.steerer.Hear(now, from, p, seg)
+	}
+	b.flush()
+}
+
+// flush does what was decided. The lock is held: packets of one flow stay in
+// order.
+func (b *Balancer) flush() {
+	out := b.steerer.Take()
+	for _, s := range out.Sends {
+		if s.Parcel.Verb == wire.Verb_VERB_CARRY || s.Parcel.Verb == wire.Verb_VERB_OPEN {
+			b.forwarded.Inc(1)
+		}
+		b.send(s.To, s.Parcel)
+	}
+	for _, r := range out.Resets {
+		packet := b.deps.Codec.Reset(r.Flow, r.Seq)
+		to := netip.AddrPortFrom(r.Flow.Caller.Addr(), b.settings.Edge.Port())
+		if _, err := b.edge.WriteToUDPAddrPort(packet, to); err != nil {
+			b.unsent.Inc(1)
+		}
+	}
+	b.record.Record(out.Events)
+}
+
+func (b *Balancer) send(to netip.AddrPort, p *wire.Parcel) {
+	if err := b.parcels.Send(to, p); err != nil {
+		b.unsent.Inc(1)
+	}
+}
+
+func (b *Balancer) ticks(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		b.mu.Lock()
+		now := b.deps.Clock.Now()
+		b.steerer.Tick(now)
+		b.flush()
+		b.tellNews(now)
+		pause := tick
+		if b.steerer.Searches() > 0 {
+			pause = searchTick
+		}
+		b.mu.Unlock()
+		timer.Reset(pause)
+	}
+}
+
+// Ready says why the balancer is not ready, or nothing.
+//
+// A balancer that reaches no target while it knows some is cut off from them. It
+// says so, and the fabric sends callers to another one.
+func (b *Balancer) Ready() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	answering, all := b.steerer.Targets.Answering(b.deps.Clock.Now())
+	switch {
+	case b.leaving:
+		return "leaving"
+	case b.steerer.Table() == nil:
+		return "no configuration yet"
+	case all == 0:
+		return "no targets known"
+	case answering == 0:
+		return "no target answers"
+	default:
+		return ""
+	}
+}
+
+// Stop leaves: the balancer is not ready at once, serves on until the fabric
+// has noticed, and tells the others which flows it knows the owners of.
+func (b *Balancer) Stop() {
+	b.mu.Lock()
+	b.leaving = true
+	now := b.deps.Clock.Now()
+	b.leave(now)
+	flows := b.steerer.Flows()
+	b.mu.Unlock()
+	b.deps.Log.Info().Str("event", "stop").Int("flows", flows).Msg("balancer stops")
+	time.Sleep(linger)
+	b.mu.Lock()
+	b.leave(b.deps.Clock.Now())
+	b.mu.Unlock()
+	b.cancel()
+	err := errs.Combine(errs.Wrap(b.edge.Close()), b.parcels.Close(), errs.Wrap(b.calls.Close()))
+	if err != nil {
+		b.deps.Log.Warn().Str("event", "stop").Err(err).Msg("sockets did not close")
+	}
+	b.parts.Wait()
+}
--- /dev/null
+++ b/internal/process/streambalancer/configure.go
@@ -0,0 +1,184 @@
+package streambalancer
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/wagtailtray/wagtailtray/internal/process/directory"
+	"github.com/wagtailtray/wagtailtray/internal/version/routing"
+)
+
+const (
+	// callTimeout bounds a call to a peer or to the platform, which answer in
+	// milliseconds. A slow platform answers in a few hundred.
+	callTimeout = 1500 * time.Millisecond
+	// firstRetry and lastRetry are the pauses after failed calls, doubling.
+	// The platform may be away for most of a day and is to be found within a
+	// second of its return.
+	firstRetry = 100 * time.Millisecond
+	lastRetry  = 800 * time.Millisecond
+	// joinWait is how long a process that starts waits for a peer that has the
+	// configuration, before it reads the platform itself.
+	joinWait = 150 * time.Millisecond
+	// settle is the pause after a version that was read, so that versions in
+	// quick succession cost one call together.
+	settle = 250 * time.Millisecond
+	// idleWait is how long a balancer that does not watch sleeps at most.
+	idleWait = 500 * time.Millisecond
+	// registerRetry is the pause after a failed registration.
+	registerRetry = 2 * time.Second
+)
+
+// configure keeps the routing table up to date: from a peer that has a later
+// version, else from the platform, if it is this balancer's turn to watch it.
+func (b *Balancer) configure(ctx context.Context) {
+	b.sleep(ctx, joinWait)
+	retry := firstRetry
+	for ctx.Err() == nil {
+		pause, ok := b.update(ctx)
+		if ok {
+			retry = firstRetry
+			b.sleep(ctx, pause)
+			continue
+		}
+		b.sleep(ctx, retry/2+rand.N(retry/2))
+		retry = min(2*retry, lastRetry)
+	}
+}
+
+// sleep ends early when a peer tells of a later version.
+func (b *Balancer) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-b.updated:
+	case <-time.After(d):
+	}
+}
+
+func (b *Balancer) wake() {
+	select {
+	case b.updated <- struct{}{}:
+	default:
+	}
+}
+
+// update makes one step and returns how long to wait for the next one; false
+// after a failure.
+func (b *Balancer) update(ctx context.Context) (time.Duration, bool) {
+	b.mu.Lock()
+	now := b.deps.Clock.Now()
+	version, table := b.version(), b.steerer.Table()
+	peer, later := b.peers.Newest(now, version)
+	watches := b.peers.Watches(now)
+	b.mu.Unlock()
+	switch {
+	case later:
+		t, err := fetch(ctx, peer.Address, version)
+		return 0, b.took(t, err, "peer")
+	case table == nil:
+		t, err := b.read(ctx)
+		b.setWatching(err == nil)
+		return 0, b.took(t, err, "platform")
+	case watches:
+		return b.watch(ctx, table)
+	default:
+		b.setWatching(false)
+		return idleWait, true
+	}
+}
+
+func (b *Balancer) read(ctx context.Context) (*routing.Table, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return b.deps.Source.Read(ctx)
+}
+
+// watch waits for a version after the present one. A later version that a peer
+// tells of meanwhile is fetched when the wait ends, or at once by its end.
+func (b *Balancer) watch(ctx context.Context, present *routing.Table) (time.Duration, bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		select {
+		case <-b.updated:
+			b.wake()
+			cancel()
+		case <-stop:
+		}
+	}()
+	b.setWatching(true)
+	t, err := b.deps.Source.Wait(ctx, present.Revision)
+	if ctx.Err() != nil {
+		return 0, true
+	}
+	b.setWatching(err == nil)
+	if t == nil && err == nil {
+		return 0, true
+	}
+	return settle, b.took(t, err, "platform")
+}
+
+func (b *Balancer) setWatching(on bool) {
+	b.mu.Lock()
+	changed := b.watching != on
+	b.watching = on
+	b.mu.Unlock()
+	if changed {
+		b.deps.Log.Info().Str("event", "watch").Bool("watching", on).Send()
+	}
+}
+
+// took brings a table into force and tells the neighbours.
+func (b *Balancer) took(t *routing.Table, err error, from string) bool {
+	if err != nil {
+		b.deps.Log.Warn().Str("event", "noconfiguration").Str("from", from).Err(err).Msg("the configuration cannot be read")
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.deps.Clock.Now()
+	if !b.steerer.SetTable(now, t) {
+		return true
+	}
+	b.deps.Log.Info().Str("event", "version").Uint64("version", t.Version).Uint64("revision", t.Revision).
+		Int("listeners", len(t.Listeners)).Str("from", from).Msg("configuration in force")
+	b.tellAll(now)
+	return true
+}
+
+// register writes this balancer's entry into the directory and joins those that
+// are there.
+func (b *Balancer) register(ctx context.Context) {
+	entry := directory.Entry{Name: b.settings.Name, Address: b.settings.Parcels, Domain: b.settings.Domain}
+	for !b.registered(ctx, entry) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(registerRetry/2 + rand.N(registerRetry)):
+		}
+	}
+}
+
+func (b *Balancer) registered(ctx context.Context, entry directory.Entry) bool {
+	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	defer cancel()
+	if err := b.deps.Directory.Register(ctx, entry); err != nil {
+		b.deps.Log.Warn().Str("event", "unregistered").Err(err).Msg("the directory cannot be written")
+		return false
+	}
+	entries, err := b.deps.Directory.Entries(ctx)
+	if err != nil {
+		b.deps.Log.Warn().Str("event", "nodirectory").Err(err).Msg("the directory cannot be read")
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, e := range entries {
+		b.peers.Learn(e.Address, e.Name, e.Domain)
+	}
+	b.deps.Log.Info().Str("event", "registered").Int("entries", len(entries)).Send()
+	return true
+}
--- /dev/null
+++ b/internal/process/streambalancer/news.go
@@ -0,0 +1,191 @@
+package streambalancer
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/wagtailtray/wagtailtray/internal/request/segment"
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+	"github.com/wagtailtray/wagtailtray/pkg/wire"
+)
+
+// ownersPerParcel keeps a parcel with owners below the size of one frame: an
+// owner takes some 36 bytes.
+const ownersPerParcel = 36
+
+// contactsPerParcel keeps a parcel with contacts below a few frames.
+const contactsPerParcel = 60
+
+// news is what this balancer tells another one. The lock is held.
+func (b *Balancer) news(ask bool) *wire.News {
+	self := &b.peers.self
+	n := &wire.News{
+		Self:  contact(self.Address, self.Name, self.Domain, ""),
+		Epoch: self.Epoch, Digest: b.digest(), Watching: b.watching, Leaving: b.leaving, Ask: ask,
+	}
+	if t := b.steerer.Table(); t != nil {
+		n.Version = t.Version
+	}
+	return n
+}
+
+func contact(a netip.AddrPort, name, domain, service string) *wire.Contact {
+	return &wire.Contact{Address: segment.AppendAddress(nil, a), Name: name, Domain: domain, Service: service}
+}
+
+// contacts is everybody that this balancer knows from themselves. What is only
+// hearsay is not told on, or a lost process would be told around for ever.
+func (b *Balancer) contacts(now clock.Millis) []*wire.Contact {
+	var all []*wire.Contact
+	for _, t := range b.steerer.Targets.Sorted() {
+		if !t.Suspected(now) {
+			all = append(all, contact(t.Address, t.Name, t.Domain, t.Service))
+		}
+	}
+	for _, p := range b.peers.Sorted() {
+		if p.Live(now) {
+			all = append(all, contact(p.Address, p.Name, p.Domain, ""))
+		}
+	}
+	return all
+}
+
+// digest is a hash over who is known. Two balancers with the same digest have
+// nothing to tell each other.
+func (b *Balancer) digest() uint64 {
+	var sum uint64
+	var room [8]byte
+	now := b.deps.Clock.Now()
+	add := func(a netip.AddrPort) { sum ^= xxh3.Hash(segment.AppendAddress(room[:0], a)) }
+	for _, t := range b.steerer.Targets.Sorted() {
+		if !t.Suspected(now) {
+			add(t.Address)
+		}
+	}
+	for _, p := range b.peers.Sorted() {
+		if p.Live(now) {
+			add(p.Address)
+		}
+	}
+	add(b.peers.self.Address)
+	return sum
+}
+
+// tellNews tells the neighbours that are due. The lock is held.
+func (b *Balancer) tellNews(now clock.Millis) {
+	due := b.peers.Due(now)
+	if len(due) > 0 {
+		n := b.news(false)
+		for _, p := range due {
+			n.Ask = !p.Live(now)
+			b.send(p.Address, &wire.Parcel{Verb: wire.Verb_VERB_NEWS, News: n})
+		}
+	}
+	for _, p := range b.peers.Forget(now) {
+		b.deps.Log.Info().Str("event", "peergone").Stringer("peer", p.Address).Str("name", p.Name).Send()
+		if p.Name != "" && b.peers.First(now) {
+			b.unregister(p)
+		}
+	}
+}
+
+// tellAll tells all neighbours at once: a version has come into force, or this
+// balancer leaves.
+func (b *Balancer) tellAll(now clock.Millis) {
+	n := b.news(false)
+	for _, p := range b.peers.Neighbours(now) {
+		p.told = now
+		b.send(p.Address, &wire.Parcel{Verb: wire.Verb_VERB_NEWS, News: n})
+	}
+}
+
+// takeNews takes what another balancer tells. The lock is held.
+func (b *Balancer) takeNews(now clock.Millis, from netip.AddrPort, n *wire.News) {
+	if n == nil || n.Self == nil {
+		return
+	}
+	fresh := b.peers.Hear(now, Peer{
+		Address: from, Name: n.Self.Name, Domain: n.Self.Domain, Epoch: n.Epoch, Version: n.Version,
+		Watching: n.Watching, Leaving: n.Leaving,
+	})
+	b.learn(now, n.Contacts)
+	if fresh {
+		b.deps.Log.Info().Str("event", "peer").Stringer("peer", from).Str("name", n.Self.Name).
+			Str("domain", n.Self.Domain).Uint64("version", n.Version).Send()
+	}
+	if (n.Ask || fresh || n.Digest != b.digest()) && len(n.Contacts) == 0 && !b.leaving {
+		b.tellContacts(now, from)
+	}
+	if fresh && n.Self.Domain == b.settings.Domain {
+		b.tellOwners(now, from)
+	}
+	if n.Version > b.version() {
+		b.wake()
+	}
+}
+
+func (b *Balancer) version() uint64 {
+	if t := b.steerer.Table(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+func (b *Balancer) learn(now clock.Millis, contacts []*wire.Contact) {
+	for _, c := range contacts {
+		a, err := segment.ParseAddress(c.Address)
+		if err != nil {
+			b.malformed.Inc(1)
+			continue
+		}
+		if c.Service == "" {
+			b.peers.Learn(a, c.Name, c.Domain)
+			continue
+		}
+		b.steerer.Targets.Learn(now, a, c.Name, c.Domain, c.Service)
+	}
+}
+
+func (b *Balancer) tellContacts(now clock.Millis, to netip.AddrPort) {
+	all := b.contacts(now)
+	for len(all) > 0 {
+		n := b.news(false)
+		size := min(len(all), contactsPerParcel)
+		n.Contacts, all = all[:size], all[size:]
+		b.send(to, &wire.Parcel{Verb: wire.Verb_VERB_NEWS, News: n})
+	}
+}
+
+// tellOwners tells another balancer who owns the flows that this one knows: it
+// takes over flows of this one, or has just started and gets some of them.
+func (b *Balancer) tellOwners(now clock.Millis, to netip.AddrPort) {
+	all := b.steerer.Owners(now)
+	for len(all) > 0 {
+		size := min(len(all), ownersPerParcel)
+		b.send(to, &wire.Parcel{Verb: wire.Verb_VERB_OWNERS, Owners: &wire.Owners{Owners: all[:size]}})
+		all = all[size:]
+	}
+}
+
+// leave tells the neighbours that this balancer stops, and those of its failure
+// domain the owners of its flows.
+func (b *Balancer) leave(now clock.Millis) {
+	b.tellAll(now)
+	for _, p := range b.peers.Neighbours(now) {
+		if p.Domain == b.settings.Domain {
+			b.tellOwners(now, p.Address)
+		}
+	}
+}
+
+// unregister takes the entry of a lost balancer out of the directory.
+func (b *Balancer) unregister(p *Peer) {
+	b.parts.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		err := b.deps.Directory.Remove(ctx, p.Name, p.Address)
+		b.deps.Log.Info().Str("event", "unregistered").Str("name", p.Name).AnErr("error", err).Send()
+	})
+}
--- a/pkg/wire/doc.go
+++ b/pkg/wire/doc.go
@@ -16,6 +16,6 @@
 // with protoc on the path.
 package wire
 
-//go:generate sh -c "cd ../.. && protoc --proto_path=. --go_out=. --go_opt=paths=source_relative --go-vtproto_out=. --go-vtproto_opt=paths=source_relative,features=marshal+unmarshal+unmarshal_unsafe+size pkg/wire/envelope.proto"
+//go:generate sh -c "cd ../.. && protoc --proto_path=. --go_out=. --go_opt=paths=source_relative --go-vtproto_out=. --go-vtproto_opt=paths=source_relative,features=marshal+unmarshal+unmarshal_unsafe+size pkg/wire/envelope.proto pkg/wire/stream.proto"
 
 //go:generate sh -c "cd ../.. && protoc --proto_path=. --go_out=. --go_opt=paths=source_relative pkg/wire/control.proto"
