Callers of flows that no target holds are told at once; flows stay in their domain

Cause: after all VMs lost power, callers waited on flows of before until their deadline, one request a flow, and balancers took a second to learn of all targets. A search that every target has answered with no, by balancers that agree on who there is, now ends with a reset. Agents report several times a second when they start. Load is the part of a target's slots in use, and a flow leaves its failure domain only for half of them.

--- a/internal/connection/stream/choose.go
+++ b/internal/connection/stream/choose.go
@@ -8,28 +8,55 @@
 )
 
 const (
-	// busyWeight is how many open flows a request under way counts for. A
-	// flow has a request under way for some 3 % of its time, so a target whose
-	// requests pile up shows in Busy long before it shows in Flows.
-	busyWeight = 3.0
 	// coldFactor is how much dearer a target is that has just started and
 	// works slower for some seconds.
 	coldFactor = 1.6
-	// crossing and crossingFactor keep flows in their failure domain until its
-	// targets are clearly busier than others: each packet between domains
-	// costs delay and money, and small differences are chance.
-	crossing       = 2.0
-	crossingFactor = 1.25
+	// crossing is by how much of its slots the least loaded target of the own
+	// failure domain must be busier before a flow leaves the domain. Packets
+	// between domains are paid for by the byte, for as long as the flow lives:
+	// at half load a target answers as fast as an idle one, so a flow goes out
+	// only where its own domain would be overloaded.
+	crossing = 0.5
+	// leastFlowLoad is what a flow counts for where no requests were seen yet,
+	// in requests under way.
+	leastFlowLoad = 0.01
+	// busyScale is the unit of the load in reports: hundredths of a request.
+	busyScale = 100
 )
 
-// cost compares targets for a new flow; lower is better.
-func (ts *Targets) cost(now clock.Millis, t *Target) float64 {
-	c := (float64(t.Flows+t.placed) + busyWeight*float64(t.Busy)) / float64(max(t.Slots, 1))
+// flowLoad is how many requests an open flow of a service has under way on the
+// mean, over all its targets.
+func (ts *Targets) flowLoad(service string) float64 {
+	flows, busy := 0, 0.0
+	for _, t := range ts.known {
+		if t.Service == service {
+			flows += t.Flows
+			busy += t.Busy
+		}
+	}
+	if flows == 0 {
+		return leastFlowLoad
+	}
+	return max(busy/float64(flows), leastFlowLoad)
+}
+
+// cost compares targets for a new flow; lower is better. It is the part of the
+// target's slots that is in use.
+//
+// What is under way at a target says how busy it is, but it varies by chance and
+// is known late; what its flows need on the mean is steady, but does not show
+// that a target has become slow. The mean of both is taken. Flows that were
+// placed since the last report count as well, so that a burst does not go to the
+// one target that looked idle.
+func (ts *Targets) cost(now clock.Millis, t *Target, flowLoad float64) float64 {
+	expected := flowLoad * float64(t.Flows)
+	c := (expected+t.Busy)/2 + flowLoad*float64(t.placed)
+	c /= float64(max(t.Slots, 1))
 	if now < t.ColdUntil {
 		c *= coldFactor
 	}
 	if t.Domain != ts.domain {
-		c = c*crossingFactor + crossing
+		c += crossing
 	}
 	return c
 }
@@ -40,11 +67,12 @@
 func (ts *Targets) Choose(now clock.Millis, service string, tried []netip.AddrPort) (*Target, bool) {
 	var best *Target
 	var least float64
+	flowLoad := ts.flowLoad(service)
 	for _, t := range ts.known {
 		if t.Service != service || !t.Opens(now) || slices.Contains(tried, t.Address) {
 			continue
 		}
-		c := ts.cost(now, t)
+		c := ts.cost(now, t, flowLoad)
 		if best == nil || c < least || c == least && t.Address.Compare(best.Address) < 0 {
 			best, least = t, c
 		}
--- a/internal/connection/stream/hold.go
+++ b/internal/connection/stream/hold.go
@@ -20,12 +20,9 @@
 	// endedFor is how long a flow that has ended is remembered: its last
 	// packets may be sent again, with doubling pauses of up to 1.6 s.
 	endedFor = 10 * clock.Second
-	// confirmAfter is how long a target may take to return a packet of a flow
-	// that it does not hold. A target returns it as soon as it reads it.
-	confirmAfter = 30 * clock.Millis(1)
-	// aliveFor is how old the last sign of a target may be for its silence to
-	// mean that it took a packet.
-	aliveFor = 3 * clock.Second
+	// loadOver is over how long the requests under way are averaged: some ten
+	// requests of a slot.
+	loadOver = clock.Second
 	// window is how far an acknowledgement may be ahead of the first sequence
 	// number: 64 packets of 1,200 bytes.
 	window = 76_800
@@ -59,9 +56,9 @@
 	accepted bool
 	// open tells that the caller's acknowledgement has reached the target.
 	open bool
-	// guess is when the first packet of a flow that the agent never saw was
-	// handed to the target; zero once the target has shown that it holds it.
-	guess   clock.Millis
+	// guess tells that the agent never saw the flow begin, and the target has
+	// not shown yet that it holds it.
+	guess   bool
 	ack     uint32
 	lastIn  clock.Millis
 	lastOut clock.Millis
@@ -86,7 +83,10 @@
 	complete bool
 	stopping bool
 	started  clock.Millis
-	out      Outcome
+	// load is the mean of the requests under way, and sampled when it was taken.
+	load    float64
+	sampled clock.Millis
+	out     Outcome
 }
 
 // NewHolder returns a Holder that knows nothing of its target yet.
@@ -192,12 +192,12 @@
 		return
 	case wire.Holding_HOLDING_UNSURE:
 		if !h.flows.Contains(id) {
-			h.flows.Add(id, &held{guess: now, opened: now})
+			h.flows.Add(id, &held{guess: true, opened: now})
 		}
 	}
 	f, _ := h.flows.Get(id)
 	f.from, f.lastIn, f.ack = from, now, seg.Ack
-	if f.guess == 0 {
+	if !f.guess {
 		f.open = true
 	}
 	if seg.Size > 0 && f.busy == 0 {
@@ -210,7 +210,7 @@
 func (h *Holder) holding(now clock.Millis, id segment.Flow, ack uint32) wire.Holding {
 	f, ok := h.flows.Peek(id)
 	switch {
-	case ok && f.guess != 0:
+	case ok && f.guess:
 		return wire.Holding_HOLDING_UNSURE
 	case ok && !f.open && f.accepted && ack-f.seq > window:
 		return wire.Holding_HOLDING_NOT
@@ -262,8 +262,8 @@
 		h.flows.Add(id, f)
 	}
 	f.lastOut = now
-	if f.guess != 0 {
-		f.guess, f.open = 0, true
+	if f.guess {
+		f.guess, f.open = false, true
 		h.own(id, f)
 	}
 	if seg.Flags.Has(segment.Opens) {
@@ -297,8 +297,9 @@
 	h.giveBack(now, to, packet, wire.Cause_CAUSE_UNOWNED)
 }
 
-// Tick confirms the flows whose packets the target kept, and ends what is over.
+// Tick ends what is over and measures the load.
 func (h *Holder) Tick(now clock.Millis) {
+	h.sample(now)
 	for _, id := range h.flows.Keys() {
 		f, ok := h.flows.Peek(id)
 		if !ok {
@@ -306,15 +307,19 @@
 		}
 		if h.over(now, f) {
 			h.flows.Remove(id)
-			continue
-		}
-		if f.guess != 0 && now.Sub(f.guess) > confirmAfter && now.Sub(h.upstream.seen) < aliveFor {
-			f.guess, f.open = 0, true
-			h.own(id, f)
 		}
 	}
 }
 
+// sample adds the requests under way to their mean, weighted by the time since
+// the last sample.
+func (h *Holder) sample(now clock.Millis) {
+	_, busy := h.Load(now)
+	weight := min(float64(now.Sub(h.sampled))/float64(loadOver), 1)
+	h.load += (float64(busy) - h.load) * weight
+	h.sampled = now
+}
+
 func (h *Holder) over(now clock.Millis, f *held) bool {
 	if f.ended != 0 && now.Sub(f.last()) > endedFor {
 		return true
--- a/internal/connection/stream/search.go
+++ b/internal/connection/stream/search.go
@@ -119,6 +119,12 @@
 		x.stage++
 		s.ask(now, id, x)
 	}
+	if x.stage == all && s.unowned(now, x) {
+		delete(s.searches, id)
+		x.flow.search = nil
+		s.end(id, x.flow, "no target holds it", now.Sub(x.began))
+		return
+	}
 	for a, q := range x.asked {
 		if q.holding == wire.Holding_HOLDING_UNKNOWN && now.Sub(q.at) > askAgain {
 			q.at = now
@@ -144,6 +150,30 @@
 	return true
 }
 
+// unowned reports that no target holds the flow: each that there is has said so,
+// or is lost.
+//
+// Failure: all VMs lost power, and the callers still use the flows of before.
+// Symptom: each waits until its patience ends, at every flow that it has. A reset
+// sends it to a new flow at once. A wrong one would break a flow that is well, so
+// it takes the word of every target, also of those that have just started, and
+// balancers that agree on who they are.
+func (s *Steerer) unowned(now clock.Millis, x *search) bool {
+	if !s.trusted(now) {
+		return false
+	}
+	for _, t := range s.Targets.known {
+		q := x.asked[t.Address]
+		if q == nil {
+			return false
+		}
+		if q.holding != wire.Holding_HOLDING_NOT && !t.Lost(now) {
+			return false
+		}
+	}
+	return true
+}
+
 // heard takes an answer to a search.
 func (s *Steerer) heard(now clock.Millis, id segment.Flow, f *flow, from netip.AddrPort, p *wire.Parcel) {
 	x := f.search
--- a/internal/connection/stream/steer.go
+++ b/internal/connection/stream/steer.go
@@ -50,7 +50,9 @@
 	suspects map[netip.AddrPort]bool
 	table    *routing.Table
 	history  *routing.History
-	out      Outcome
+	// settled tells that all balancers know the same targets.
+	settled bool
+	out     Outcome
 }
 
 // NewSteerer returns a Steerer that knows nothing yet.
@@ -87,6 +89,12 @@
 	return s.table
 }
 
+// SetSettled tells whether all balancers know the same targets, and have done so
+// for long enough to have told each other of any new one.
+func (s *Steerer) SetSettled(settled bool) {
+	s.settled = settled
+}
+
 func (s *Steerer) version() uint64 {
 	if s.table == nil {
 		return 0
@@ -133,14 +141,37 @@
 // cannot answer any more, so its flow is searched anew: it may have been opened
 // at two targets.
 func (s *Steerer) carry(now clock.Millis, id segment.Flow, f *flow, packet []byte) {
-	if t, ok := s.Targets.Find(f.owner); !ok || t.Service != f.service {
+	t, ok := s.Targets.Find(f.owner)
+	if !ok || t.Service != f.service {
 		f.owner = netip.AddrPort{}
 		s.begin(now, id, f, packet)
 		return
 	}
+	if t.Lost(now) && s.trusted(now) {
+		s.end(id, f, "its target is lost", now.Sub(t.Heard))
+		return
+	}
 	s.out.send(f.owner, &wire.Parcel{Verb: wire.Verb_VERB_CARRY, Service: f.service, Packet: packet})
 }
 
+// trusted reports that this balancer may tell callers that a flow is over: it
+// hears most targets, so it is not the one that is cut off, and it knows the same
+// targets as the others.
+func (s *Steerer) trusted(now clock.Millis) bool {
+	answering, all := s.Targets.Answering(now)
+	return s.settled && 2*answering > all
+}
+
+// end tells a caller that its flow is over, so that it comes back on a new one
+// instead of waiting until its patience ends.
+func (s *Steerer) end(id segment.Flow, f *flow, reason string, age clock.Millis) {
+	s.out.Resets = append(s.out.Resets, Reset{Flow: id, Seq: f.ack})
+	s.out.note(Event{
+		Kind: Ended, Flow: id, Target: f.owner, Service: f.service, Reason: reason, Age: age, Version: s.version(),
+	})
+	s.flows.Remove(id)
+}
+
 // open sends a flow's opening to a target. A copy goes to the target that took
 // the first one; if none has said so yet, to another one, for the first may be
 // dead and accepting twice does no harm.
--- a/internal/connection/stream/target.go
+++ b/internal/connection/stream/target.go
@@ -23,6 +23,13 @@
 	// suspectAfter is how long the first unanswered probe may be old. Four
 	// probes are lost by then: at 3 % loss one suspicion in a million is false.
 	suspectAfter = 350 * clock.Millis(1)
+	// deadAfter is the silence after which a target counts as lost: its callers
+	// have waited for longer than they have patience for, a second or so. A
+	// planned restart of an agent is announced and does not count.
+	deadAfter = 2500 * clock.Millis(1)
+	// pausedAfter is a pause between two ticks that means that this process
+	// stood still.
+	pausedAfter = 300 * clock.Millis(1)
 	// forgetAfter is the silence after which a target is no longer known: a
 	// flow lives no longer than a minute.
 	forgetAfter = 70 * clock.Second
@@ -45,7 +52,8 @@
 	Condition wire.Condition
 	Slots     int
 	Flows     int
-	Busy      int
+	// Busy is the mean number of requests under way in the last second.
+	Busy float64
 	// ColdUntil is when the target is as fast as it will be.
 	ColdUntil clock.Millis
 	Complete  bool
@@ -66,6 +74,12 @@
 	return t.Heard == 0 || t.waiting != 0 && now.Sub(t.waiting) > suspectAfter
 }
 
+// Lost reports that the target was silent for so long that its flows can no
+// longer be served, and that its agent did not say that it restarts.
+func (t *Target) Lost(now clock.Millis) bool {
+	return t.waiting != 0 && now.Sub(t.waiting) > deadAfter && !t.Restarting
+}
+
 // Opens reports whether the target may be chosen for new flows.
 func (t *Target) Opens(now clock.Millis) bool {
 	return t.Condition == wire.Condition_CONDITION_READY && !t.Restarting && !t.Suspected(now)
@@ -77,6 +91,7 @@
 	known  map[netip.AddrPort]*Target
 	left   map[netip.AddrPort]clock.Millis
 	number uint64
+	ticked clock.Millis
 }
 
 // NewTargets returns an empty set for a balancer in a failure domain.
@@ -178,7 +193,7 @@
 	t.Name, t.Domain, t.Service = r.Name, r.Domain, r.Service
 	t.Epoch, t.Sequence, t.Born = r.Epoch, r.Sequence, r.Born
 	t.Condition = r.Condition
-	t.Slots, t.Flows, t.Busy = int(r.Slots), int(r.Flows), int(r.Busy)
+	t.Slots, t.Flows, t.Busy = int(r.Slots), int(r.Flows), float64(r.Busy)/busyScale
 	t.ColdUntil = now + clock.Millis(r.Cold)
 	t.Complete, t.Restarting = r.Complete, r.Restarting
 	t.Heard = now
@@ -187,9 +202,18 @@
 }
 
 // Due returns the targets to probe now and notes that they are.
+//
+// Failure: this process stood still, and its probes of before seem unanswered
+// for long. Symptom: targets that are well count as lost, and their flows are
+// reset. After a pause every target gets its time anew.
 func (ts *Targets) Due(now clock.Millis) []*Target {
+	paused := ts.ticked != 0 && now.Sub(ts.ticked) > pausedAfter
+	ts.ticked = now
 	var due []*Target
 	for _, t := range ts.known {
+		if paused && t.waiting != 0 {
+			t.waiting = now
+		}
 		if now.Sub(t.probed) < ts.pause(now, t) {
 			continue
 		}
--- a/internal/connection/stream/upstream.go
+++ b/internal/connection/stream/upstream.go
@@ -144,12 +144,12 @@
 // report is the target's state as balancers want it.
 func (h *Holder) report(now clock.Millis, probe uint64) *wire.Report {
 	h.sequence++
-	flows, busy := h.Load(now)
+	flows, _ := h.Load(now)
 	u := &h.upstream
 	return &wire.Report{
 		Name: h.settings.Name, Domain: h.settings.Domain, Service: h.settings.Service,
 		Epoch: h.settings.Epoch, Sequence: h.sequence, Born: u.born, Condition: h.condition(now),
-		Slots: uint32(u.slots), Flows: uint32(flows), Busy: uint32(busy),
+		Slots: uint32(u.slots), Flows: uint32(flows), Busy: uint32(h.load * busyScale),
 		Cold: uint32(max(u.coldUntil.Sub(now), 0)), Complete: h.knowsAll(now), Restarting: h.stopping, Probe: probe,
 	}
 }
--- a/internal/process/streamagent/agent.go
+++ b/internal/process/streamagent/agent.go
@@ -44,8 +44,11 @@
 	// target has to return a packet is of this order.
 	tick = 50 * time.Millisecond
 	// tellEvery is how often balancers that do not probe this target are told
-	// that it is there.
+	// that it is there, and tellFirst how often in the first seconds, when they
+	// may be starting as well.
 	tellEvery = clock.Second
+	tellFirst = 150 * clock.Millis(1)
+	firstFor  = 4 * clock.Second
 	// knownFor is how long a balancer that was heard is told of changes.
 	knownFor = 60 * clock.Second
 	// findEvery is how often the directory is asked for balancers while none
@@ -104,6 +107,7 @@
 	record    *decisions.Recorder
 	balancers map[netip.AddrPort]*balancer
 	probed    clock.Millis
+	started   clock.Millis
 
 	malformed tally.Counter
 	unsent    tally.Counter
@@ -121,7 +125,7 @@
 func Start(settings Settings, deps Deps) (*Agent, error) {
 	now := deps.Clock.Now()
 	a := &Agent{
-		settings: settings, deps: deps, balancers: map[netip.AddrPort]*balancer{},
+		settings: settings, deps: deps, balancers: map[netip.AddrPort]*balancer{}, started: now,
 		record:    decisions.NewRecorder(deps.Log, deps.Scope),
 		malformed: deps.Scope.Counter("malformed"), unsent: deps.Scope.Counter("unsent"),
 	}
@@ -279,13 +283,17 @@
 
 // tell reports to all balancers, or to those that have not probed for a while.
 func (a *Agent) tell(now clock.Millis, all bool) {
+	pause := tellEvery
+	if now.Sub(a.started) < firstFor {
+		pause = tellFirst
+	}
 	var to []netip.AddrPort
 	for address, b := range a.balancers {
 		if now.Sub(b.heard) > knownFor && len(a.balancers) > 1 {
 			delete(a.balancers, address)
 			continue
 		}
-		if all || now.Sub(b.told) > tellEvery {
+		if all || now.Sub(b.told) > pause {
 			b.told = now
 			to = append(to, address)
 		}
--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -107,8 +107,9 @@
 	peers   *Peers
 	record  *decisions.Recorder
 	leaving bool
-	// fetching is the version that is being fetched from a peer.
-	fetching uint64
+	// told is the digest of the last news to all neighbours, at toldAt.
+	told   uint64
+	toldAt clock.Millis
 	// watching tells that the last call of the watch was answered.
 	watching bool
 
--- a/internal/process/streambalancer/configure.go
+++ b/internal/process/streambalancer/configure.go
@@ -20,7 +20,7 @@
 	lastRetry  = 800 * time.Millisecond
 	// joinWait is how long a process that starts waits for a peer that has the
 	// configuration, before it reads the platform itself.
-	joinWait = 150 * time.Millisecond
+	joinWait = 40 * time.Millisecond
 	// settle is the pause after a version that was read, so that versions in
 	// quick succession cost one call together.
 	settle = 250 * time.Millisecond
--- a/internal/process/streambalancer/news.go
+++ b/internal/process/streambalancer/news.go
@@ -75,6 +75,12 @@
 
 // tellNews tells the neighbours that are due. The lock is held.
 func (b *Balancer) tellNews(now clock.Millis) {
+	digest := b.digest()
+	if digest != b.told && now.Sub(b.toldAt) > newsSoon {
+		b.told, b.toldAt = digest, now
+		b.tellAll(now)
+	}
+	b.steerer.SetSettled(b.peers.Settled(now, digest))
 	due := b.peers.Due(now)
 	if len(due) > 0 {
 		n := b.news(false)
@@ -108,7 +114,7 @@
 	}
 	fresh := b.peers.Hear(now, Peer{
 		Address: from, Name: n.Self.Name, Domain: n.Self.Domain, Epoch: n.Epoch, Version: n.Version,
-		Watching: n.Watching, Leaving: n.Leaving,
+		Watching: n.Watching, Leaving: n.Leaving, Digest: n.Digest,
 	})
 	b.learn(now, n.Contacts)
 	if fresh {
--- a/internal/process/streambalancer/peers.go
+++ b/internal/process/streambalancer/peers.go
@@ -22,6 +22,14 @@
 	// in the own failure domain. A version that is new to a balancer goes on to
 	// its own neighbours.
 	mostNeighbours = 8
+	// settleTime is how long neighbours must agree: news of a new target go
+	// around at once and, if lost, again after newsEvery.
+	settleTime = 700 * clock.Millis(1)
+	// startTime is how long a balancer that has started may not have heard of
+	// everybody: agents report several times in it.
+	startTime = clock.Second
+	// newsSoon is the least pause between news that tell of a change.
+	newsSoon = 100 * clock.Millis(1)
 	// watchGrace is how long a balancer that ranks before this one may be
 	// without the platform until this one reads it as well.
 	watchGrace = 1200 * clock.Millis(1)
@@ -34,6 +42,8 @@
 	Domain  string
 	Epoch   uint64
 	Version uint64
+	// Digest is a hash over whom it knows.
+	Digest uint64
 	// Watching tells that it reads the platform's changes.
 	Watching bool
 	Leaving  bool
@@ -55,6 +65,8 @@
 	self    Peer
 	started clock.Millis
 	known   map[netip.AddrPort]*Peer
+	// agreed is since when all neighbours know the same processes as this one.
+	agreed clock.Millis
 }
 
 // NewPeers returns the peers of a balancer that has just started.
@@ -99,7 +111,7 @@
 		p.unwatched = now
 	}
 	p.Name, p.Domain, p.Epoch, p.Version = n.Name, n.Domain, n.Epoch, n.Version
-	p.Watching, p.Leaving = n.Watching, n.Leaving
+	p.Watching, p.Leaving, p.Digest = n.Watching, n.Leaving, n.Digest
 	p.Heard = now
 	return fresh
 }
@@ -200,6 +212,22 @@
 	return true
 }
 
+// Settled reports that all neighbours have known the same processes as this
+// balancer for long enough to have told each other of any new one. digest is a
+// hash over whom this one knows.
+func (ps *Peers) Settled(now clock.Millis, digest uint64) bool {
+	for _, p := range ps.Neighbours(now) {
+		if p.Digest != digest {
+			ps.agreed = 0
+			return false
+		}
+	}
+	if ps.agreed == 0 {
+		ps.agreed = now
+	}
+	return now.Sub(ps.agreed) > settleTime && now.Sub(ps.started) > startTime
+}
+
 // Newest returns a live peer whose version is the highest, if it is above the
 // given one.
 func (ps *Peers) Newest(now clock.Millis, above uint64) (*Peer, bool) {
