Fewer bytes between failure domains

Searches keep their packets, so a denial is enough; news between domains are sent half as often and contacts told when a difference lasts.

--- a/internal/connection/stream/hold.go
+++ b/internal/connection/stream/hold.go
@@ -292,8 +292,14 @@
 		h.giveBack(now, to, packet, wire.Cause_CAUSE_FULL)
 		return
 	}
+	f, ok := h.flows.Peek(id)
 	h.flows.Remove(id)
 	h.denied.Add(id, struct{}{})
+	if ok && f.guess {
+		// A search handed the packet here, and its balancer has kept it.
+		h.answer(to, segment.AppendFlow(nil, id), wire.Holding_HOLDING_NOT)
+		return
+	}
 	h.giveBack(now, to, packet, wire.Cause_CAUSE_UNOWNED)
 }
 
--- a/internal/connection/stream/steer.go
+++ b/internal/connection/stream/steer.go
@@ -331,6 +331,11 @@
 		s.denied(now, id, f, from)
 		return
 	}
+	if f.taken && f.owner != from {
+		// A target that a search has handed the packet to as well; the
+		// owner has it.
+		return
+	}
 	s.out.note(Event{Kind: Unowned, Flow: id, Target: from, Service: f.service, Reason: p.Cause.String()})
 	if f.owner == from {
 		f.owner = netip.AddrPort{}
--- a/internal/process/streambalancer/news.go
+++ b/internal/process/streambalancer/news.go
@@ -121,7 +121,8 @@
 		b.deps.Log.Info().Str("event", "peer").Stringer("peer", from).Str("name", n.Self.Name).
 			Str("domain", n.Self.Domain).Uint64("version", n.Version).Send()
 	}
-	if (n.Ask || fresh || n.Digest != b.digest()) && len(n.Contacts) == 0 && !b.leaving {
+	differs := n.Digest != b.digest() && len(n.Contacts) == 0
+	if !b.leaving && (n.Ask || fresh || differs) && b.peers.TellContacts(now, from, n.Ask || fresh) {
 		b.tellContacts(now, from)
 	}
 	if fresh && n.Self.Domain == b.settings.Domain {
--- a/internal/process/streambalancer/peers.go
+++ b/internal/process/streambalancer/peers.go
@@ -10,10 +10,17 @@
 )
 
 const (
-	// newsEvery is how often a neighbour is told what is in force here.
-	newsEvery = 500 * clock.Millis(1)
-	// peerLive is the silence after which a balancer no longer counts as there.
-	peerLive = 4 * newsEvery
+	// nearNews and farNews are how often neighbours in the own failure domain and
+	// in others are told what is in force here. Changes are told at once; this
+	// repairs what was lost, and traffic between domains is paid for.
+	nearNews = 500 * clock.Millis(1)
+	farNews  = clock.Second
+	// peerLive is the silence after which a balancer no longer counts as there:
+	// two lost datagrams.
+	peerLive = 2500 * clock.Millis(1)
+	// contactsEvery is the least pause between two tellings of all contacts to one
+	// balancer.
+	contactsEvery = 400 * clock.Millis(1)
 	// peerKnown is the silence after which a balancer is forgotten.
 	peerKnown = 60 * clock.Second
 	// retryPeer is how often a silent balancer is tried.
@@ -23,7 +30,7 @@
 	// its own neighbours.
 	mostNeighbours = 8
 	// settleTime is how long neighbours must agree: news of a new target go
-	// around at once and, if lost, again after newsEvery.
+	// around at once and, if lost, again after nearNews.
 	settleTime = 700 * clock.Millis(1)
 	// startTime is how long a balancer that has started may not have heard of
 	// everybody: agents report several times in it.
@@ -50,7 +57,8 @@
 	// Heard is when its last news came; zero if none did.
 	Heard clock.Millis
 
-	told clock.Millis
+	told     clock.Millis
+	contacts clock.Millis
 	// unwatched is since when it is there without reading the platform.
 	unwatched clock.Millis
 }
@@ -169,7 +177,7 @@
 func (ps *Peers) Due(now clock.Millis) []*Peer {
 	var due []*Peer
 	for _, p := range ps.Neighbours(now) {
-		if now.Sub(p.told) >= newsEvery {
+		if now.Sub(p.told) >= ps.pause(p) {
 			due = append(due, p)
 		}
 	}
@@ -184,6 +192,24 @@
 	return due
 }
 
+func (ps *Peers) pause(p *Peer) clock.Millis {
+	if p.Domain == ps.self.Domain {
+		return nearNews
+	}
+	return farNews
+}
+
+// TellContacts reports whether a balancer that knows others than this one is to
+// be told all contacts now. A difference of a moment passes by itself.
+func (ps *Peers) TellContacts(now clock.Millis, a netip.AddrPort, ask bool) bool {
+	p := ps.known[a]
+	if p == nil || !ask && now.Sub(p.contacts) < contactsEvery {
+		return false
+	}
+	p.contacts = now
+	return true
+}
+
 // retry is short while this process has just started: the others may have done
 // so as well, in any order.
 func (ps *Peers) retry(now clock.Millis) clock.Millis {
