--- a/internal/connection/stream/choose.go
+++ b/internal/connection/stream/choose.go
@@ -24,15 +24,13 @@
 	busyScale = 100
 )
 
-// flowLoad is how many requests an open flow of a service has under way on the
-// mean, over all its targets.
-func (ts *Targets) flowLoad(service string) float64 {
+// flowLoad is how many requests an open flow has under way on the mean over a
+// service's targets.
+func flowLoad(targets map[netip.AddrPort]*Target) float64 {
 	flows, busy := 0, 0.0
-	for _, t := range ts.known {
-		if t.Service == service {
-			flows += t.Flows
-			busy += t.Busy
-		}
+	for _, t := range targets {
+		flows += t.Flows
+		busy += t.Busy
 	}
 	if flows == 0 {
 		return leastFlowLoad
@@ -48,9 +46,9 @@
 // that a target has become slow. The mean of both is taken. Flows that were
 // placed since the last report count as well, so that a burst does not go to the
 // one target that looked idle.
-func (ts *Targets) cost(now clock.Millis, t *Target, flowLoad float64) float64 {
-	expected := flowLoad * float64(t.Flows)
-	c := (expected+t.Busy)/2 + flowLoad*float64(t.placed)
+func (ts *Targets) cost(now clock.Millis, t *Target, each float64) float64 {
+	expected := each * float64(t.Flows)
+	c := (expected+t.Busy)/2 + each*float64(t.placed)
 	c /= float64(max(t.Slots, 1))
 	if now < t.ColdUntil {
 		c *= coldFactor
@@ -67,12 +65,13 @@
 func (ts *Targets) Choose(now clock.Millis, service string, tried []netip.AddrPort) (*Target, bool) {
 	var best *Target
 	var least float64
-	flowLoad := ts.flowLoad(service)
-	for _, t := range ts.known {
-		if t.Service != service || !t.Opens(now) || slices.Contains(tried, t.Address) {
+	targets := ts.want(now, service)
+	each := flowLoad(targets)
+	for _, t := range targets {
+		if !t.Opens(now) || slices.Contains(tried, t.Address) {
 			continue
 		}
-		c := ts.cost(now, t, flowLoad)
+		c := ts.cost(now, t, each)
 		if best == nil || c < least || c == least && t.Address.Compare(best.Address) < 0 {
 			best, least = t, c
 		}
--- a/internal/connection/stream/hold.go
+++ b/internal/connection/stream/hold.go
@@ -17,6 +17,8 @@
 	activeFor = 5 * clock.Second
 	// busyFor bounds how long a request counts as under way.
 	busyFor = 5 * clock.Second
+	// sweepEvery is how often flows that are over are looked for.
+	sweepEvery = clock.Second
 	// endedFor is how long a flow that has ended is remembered: its last
 	// packets may be sent again, with doubling pauses of up to 1.6 s.
 	endedFor = 10 * clock.Second
@@ -76,6 +78,11 @@
 type Holder struct {
 	settings HolderSettings
 	flows    *simplelru.LRU[segment.Flow, *held]
+	// working are the flows with a request under way, and active how many were
+	// in use at the last sweep.
+	working map[segment.Flow]*held
+	active  int
+	swept   clock.Millis
 	// denied are flows that the target has returned packets of.
 	denied   *simplelru.LRU[segment.Flow, struct{}]
 	upstream upstream
@@ -91,8 +98,8 @@
 
 // NewHolder returns a Holder that knows nothing of its target yet.
 func NewHolder(now clock.Millis, settings HolderSettings) *Holder {
-	h := &Holder{settings: settings, started: now}
-	h.flows, _ = simplelru.NewLRU[segment.Flow, *held](max(settings.Flows, 1), nil)
+	h := &Holder{settings: settings, started: now, working: map[segment.Flow]*held{}}
+	h.flows, _ = simplelru.NewLRU(max(settings.Flows, 1), func(id segment.Flow, _ *held) { delete(h.working, id) })
 	h.denied, _ = simplelru.NewLRU[segment.Flow, struct{}](max(settings.Flows, 1), nil)
 	return h
 }
@@ -147,6 +154,7 @@
 		f = &held{opened: now}
 		h.flows.Add(id, f)
 		h.denied.Remove(id)
+		h.active++
 	}
 	f.from, f.lastIn = from, now
 	h.deliver(from, p.Packet)
@@ -202,6 +210,7 @@
 	}
 	if seg.Size > 0 && f.busy == 0 {
 		f.busy = now
+		h.working[id] = f
 	}
 	h.deliver(from, p.Packet)
 }
@@ -271,8 +280,9 @@
 		h.upstream.unanswered = 0
 		h.own(id, f)
 	}
-	if seg.Size > 0 {
+	if seg.Size > 0 || seg.Flags&(segment.Ends|segment.Resets) != 0 {
 		f.busy = 0
+		delete(h.working, id)
 	}
 	if seg.Flags&(segment.Ends|segment.Resets) != 0 && f.ended == 0 {
 		f.ended = now
@@ -306,13 +316,21 @@
 // Tick ends what is over and measures the load.
 func (h *Holder) Tick(now clock.Millis) {
 	h.sample(now)
+	if now.Sub(h.swept) < sweepEvery {
+		return
+	}
+	h.swept = now
+	h.active = 0
 	for _, id := range h.flows.Keys() {
 		f, ok := h.flows.Peek(id)
 		if !ok {
 			continue
 		}
-		if h.over(now, f) {
+		switch {
+		case h.over(now, f):
 			h.flows.Remove(id)
+		case f.ended == 0 && now.Sub(f.last()) <= activeFor:
+			h.active++
 		}
 	}
 }
@@ -320,7 +338,14 @@
 // sample adds the requests under way to their mean, weighted by the time since
 // the last sample.
 func (h *Holder) sample(now clock.Millis) {
-	_, busy := h.Load(now)
+	busy := 0
+	for id, f := range h.working {
+		if now.Sub(f.busy) > busyFor {
+			delete(h.working, id)
+			continue
+		}
+		busy++
+	}
 	weight := min(float64(now.Sub(h.sampled))/float64(loadOver), 1)
 	h.load += (float64(busy) - h.load) * weight
 	h.sampled = now
@@ -332,17 +357,3 @@
 	}
 	return now.Sub(f.opened) > h.settings.FlowLife && now.Sub(f.last()) > h.settings.FlowLife
 }
-
-// Load counts the flows that are open and in use, and the requests under way.
-func (h *Holder) Load(now clock.Millis) (flows, busy int) {
-	for _, f := range h.flows.Values() {
-		if f.ended != 0 || now.Sub(f.last()) > activeFor {
-			continue
-		}
-		flows++
-		if f.busy != 0 && now.Sub(f.busy) < busyFor {
-			busy++
-		}
-	}
-	return flows, busy
-}
--- a/internal/connection/stream/search.go
+++ b/internal/connection/stream/search.go
@@ -15,8 +15,14 @@
 	// them.
 	nearStage = 15 * clock.Millis(1)
 	wideStage = 60 * clock.Millis(1)
-	// askAgain is the pause before a question without answer is repeated.
+	// askAgain is the pause before a question without answer is repeated; it
+	// doubles each time. Thousands of searches at once, after all VMs lost power,
+	// must not fill the links that their answers need.
 	askAgain = 100 * clock.Millis(1)
+	// denialFor is how long a denial holds for the next search of the flow. The
+	// target could get the flow only by an opening, and the agent's process
+	// and the target must be the same ones.
+	denialFor = 5 * clock.Second
 	// searchFor is how long a search goes on. By then the caller has sent its
 	// packet again, which begins the next search.
 	searchFor = clock.Second
@@ -43,11 +49,24 @@
 // asked is one target of a search.
 type asked struct {
 	at      clock.Millis
+	pause   clock.Millis
 	holding wire.Holding
 	// handed tells how many of the kept packets the target was handed.
 	handed int
 }
 
+// denial is an agent's word that its target does not hold a flow.
+type denial struct {
+	at    clock.Millis
+	epoch uint64
+	born  uint64
+}
+
+// holds reports whether the denial still counts.
+func (d denial) holds(now clock.Millis, t *Target) bool {
+	return d.at != 0 && now.Sub(d.at) < denialFor && d.epoch == t.Epoch && d.born == t.Born
+}
+
 // search is a balancer's question who owns a flow.
 type search struct {
 	flow    *flow
@@ -85,7 +104,12 @@
 		if x.asked[t.Address] != nil || !s.within(x.stage, id, t) {
 			continue
 		}
-		x.asked[t.Address] = &asked{at: now}
+		q := &asked{at: now, pause: askAgain}
+		x.asked[t.Address] = q
+		if x.flow.denied[t.Address].holds(now, t) {
+			q.holding = wire.Holding_HOLDING_NOT
+			continue
+		}
 		s.question(id, x, t.Address)
 	}
 }
@@ -126,8 +150,8 @@
 		return
 	}
 	for a, q := range x.asked {
-		if q.holding == wire.Holding_HOLDING_UNKNOWN && now.Sub(q.at) > askAgain {
-			q.at = now
+		if q.holding == wire.Holding_HOLDING_UNKNOWN && now.Sub(q.at) > q.pause {
+			q.at, q.pause = now, 2*q.pause
 			s.question(id, x, a)
 		}
 	}
@@ -162,16 +186,14 @@
 	if !s.trusted(now) {
 		return false
 	}
-	for _, t := range s.Targets.known {
+	unowned := true
+	s.Targets.Each(func(t *Target) {
 		q := x.asked[t.Address]
-		if q == nil {
-			return false
+		if q == nil || q.holding != wire.Holding_HOLDING_NOT && !t.Lost(now) {
+			unowned = false
 		}
-		if q.holding != wire.Holding_HOLDING_NOT && !t.Lost(now) {
-			return false
-		}
-	}
-	return true
+	})
+	return unowned
 }
 
 // heard takes an answer to a search.
@@ -185,8 +207,7 @@
 	case wire.Holding_HOLDING_OWNED:
 		s.found(now, id, f, from)
 	case wire.Holding_HOLDING_NOT:
-		q.holding = p.Holding
-		s.advance(now, id, x)
+		s.denied(now, id, f, from)
 	case wire.Holding_HOLDING_UNSURE:
 		if q.holding != wire.Holding_HOLDING_NOT {
 			q.holding = p.Holding
@@ -208,13 +229,19 @@
 	q.handed = len(x.packets)
 }
 
-// denied notes that a target returned a packet of the search.
+// denied notes that a target does not hold the flow.
 func (s *Steerer) denied(now clock.Millis, id segment.Flow, f *flow, from netip.AddrPort) {
 	q := f.search.asked[from]
 	if q == nil {
 		return
 	}
 	q.holding = wire.Holding_HOLDING_NOT
+	if t, ok := s.Targets.Find(from); ok {
+		if f.denied == nil {
+			f.denied = map[netip.AddrPort]denial{}
+		}
+		f.denied[from] = denial{at: now, epoch: t.Epoch, born: t.Born}
+	}
 	s.advance(now, id, f.search)
 }
 
@@ -226,7 +253,7 @@
 	if !ok {
 		return
 	}
-	f.search = nil
+	f.search, f.denied = nil, nil
 	delete(s.searches, id)
 	f.owner, f.service, f.taken, f.last = owner, t.Service, true, now
 	s.out.note(Event{
@@ -253,5 +280,4 @@
 	s.out.note(Event{Kind: GaveUp, Flow: id, Reason: reason, Age: now.Sub(x.began), Count: denied, Version: s.version()})
 	x.flow.search = nil
 	delete(s.searches, id)
-	s.flows.Remove(id)
 }
--- a/internal/connection/stream/steer.go
+++ b/internal/connection/stream/steer.go
@@ -36,6 +36,8 @@
 	pending int
 	last    clock.Millis
 	search  *search
+	// denied is who said lately that its target does not hold the flow.
+	denied map[netip.AddrPort]denial
 	// ack is the caller's last acknowledgement.
 	ack uint32
 }
@@ -193,6 +195,7 @@
 	}
 	f.last = now
 	f.service = service
+	f.denied = nil
 	s.place(now, id, f, packet)
 }
 
@@ -282,30 +285,33 @@
 	}
 }
 
-// Hear takes a parcel of an agent about flows. Packets in it are kept no longer
-// than until the outcome is taken, unless a search needs them.
-func (s *Steerer) Hear(now clock.Millis, from netip.AddrPort, p *wire.Parcel, seg *segment.Segment) {
-	if p.Report != nil {
-		s.report(now, from, p.Report)
-	}
+// Hear takes a parcel of an agent. Packets in it are kept no longer than until
+// the outcome is taken, unless a search needs them. It returns the target if it
+// was heard for the first time.
+func (s *Steerer) Hear(now clock.Millis, from netip.AddrPort, p *wire.Parcel, seg *segment.Segment) (*Target, bool) {
+	added := p.Report != nil && s.report(now, from, p.Report)
 	switch p.Verb {
 	case wire.Verb_VERB_RETURN:
 		s.returned(now, from, p, seg)
 	case wire.Verb_VERB_ANSWER:
 		s.answered(now, from, p)
 	}
+	if !added {
+		return nil, false
+	}
+	return s.Targets.Find(from)
 }
 
-func (s *Steerer) report(now clock.Millis, from netip.AddrPort, r *wire.Report) {
+// report takes a report and tells whether its target is new.
+func (s *Steerer) report(now clock.Millis, from netip.AddrPort, r *wire.Report) bool {
 	c := s.Targets.Report(now, from, r)
 	switch {
 	case c.Left:
 		s.out.note(Event{Kind: TargetGone, Target: from, Name: r.Name, Service: r.Service})
-	case c.New:
-		s.out.note(Event{Kind: TargetNew, Target: from, Name: r.Name, Service: r.Service, Reason: r.Condition.String()})
-	case c.Condition || c.Reborn:
+	case c.New || c.Condition || c.Reborn:
 		s.out.note(Event{Kind: TargetNew, Target: from, Name: r.Name, Service: r.Service, Reason: r.Condition.String()})
 	}
+	return c.New
 }
 
 // returned takes back a packet that a target did not take.
@@ -383,10 +389,7 @@
 // was forgotten.
 func (s *Steerer) Tick(now clock.Millis) {
 	for _, t := range s.Targets.Due(now) {
-		r := &wire.Report{Probe: t.probe}
-		if s.table != nil {
-			r.Health = s.table.Health(t.Service)
-		}
+		r := &wire.Report{Probe: t.probe, Epoch: t.former.epoch, Born: t.former.born}
 		s.out.send(t.Address, &wire.Parcel{Verb: wire.Verb_VERB_PROBE, Report: r})
 	}
 	s.watch(now)
@@ -400,20 +403,20 @@
 
 // watch notes what has become suspected, or is no longer.
 func (s *Steerer) watch(now clock.Millis) {
-	for a, t := range s.Targets.known {
+	s.Targets.Each(func(t *Target) {
 		suspected := t.Suspected(now) && t.Heard != 0
-		if suspected == s.suspects[a] {
-			continue
+		if suspected == s.suspects[t.Address] {
+			return
 		}
 		kind := TargetBack
 		if suspected {
 			kind = TargetLost
 		}
-		s.suspects[a] = suspected
-		s.out.note(Event{Kind: kind, Target: a, Name: t.Name, Service: t.Service, Age: now.Sub(t.Heard)})
-	}
+		s.suspects[t.Address] = suspected
+		s.out.note(Event{Kind: kind, Target: t.Address, Name: t.Name, Service: t.Service, Age: now.Sub(t.Heard)})
+	})
 	for a := range s.suspects {
-		if _, ok := s.Targets.known[a]; !ok {
+		if _, ok := s.Targets.Find(a); !ok {
 			delete(s.suspects, a)
 		}
 	}
--- a/internal/connection/stream/target.go
+++ b/internal/connection/stream/target.go
@@ -15,6 +15,11 @@
 	// what was placed since; traffic between domains is paid for.
 	nearProbe = 200 * clock.Millis(1)
 	farProbe  = clock.Second
+	// restProbe is how often targets of a service are probed that had no
+	// openings or searches here for restAfter: a balancer among hundreds sees
+	// few of the services.
+	restProbe = 5 * clock.Second
+	restAfter = 20 * clock.Second
 	// againProbe is the pause before a probe without answer is repeated, some
 	// round trips between failure domains.
 	againProbe = 100 * clock.Millis(1)
@@ -56,16 +61,26 @@
 	Busy float64
 	// ColdUntil is when the target is as fast as it will be.
 	ColdUntil clock.Millis
-	Complete  bool
 	// Restarting tells that the agent announced its stop.
 	Restarting bool
 	// Heard is when the last report arrived; zero if none did.
 	Heard clock.Millis
 
+	// former is the agent's process before the present one.
+	former process
+	// probed is when the last probe was sent, waiting when the first one was
+	// that has no answer yet, and probe its number.
 	probed  clock.Millis
 	waiting clock.Millis
 	probe   uint64
-	placed  int
+	// placed counts the openings that were sent since the last report.
+	placed int
+}
+
+// process is one process of an agent, with the target that it served.
+type process struct {
+	epoch uint64
+	born  uint64
 }
 
 // Suspected reports that the target's agent leaves probes unanswered, or was
@@ -85,10 +100,18 @@
 	return t.Condition == wire.Condition_CONDITION_READY && !t.Restarting && !t.Suspected(now)
 }
 
+// group is the targets of one service.
+type group struct {
+	targets map[netip.AddrPort]*Target
+	// wanted is when the service last had an opening or a search here.
+	wanted clock.Millis
+}
+
 // Targets is all targets that a balancer knows, by their agents' addresses.
 type Targets struct {
 	domain string
 	known  map[netip.AddrPort]*Target
+	groups map[string]*group
 	left   map[netip.AddrPort]clock.Millis
 	number uint64
 	ticked clock.Millis
@@ -96,7 +119,10 @@
 
 // NewTargets returns an empty set for a balancer in a failure domain.
 func NewTargets(domain string) *Targets {
-	return &Targets{domain: domain, known: map[netip.AddrPort]*Target{}, left: map[netip.AddrPort]clock.Millis{}}
+	return &Targets{
+		domain: domain, known: map[netip.AddrPort]*Target{}, groups: map[string]*group{},
+		left: map[netip.AddrPort]clock.Millis{},
+	}
 }
 
 // Len returns the number of known targets.
@@ -112,17 +138,55 @@
 
 // Sorted returns the targets in the order of their addresses.
 func (ts *Targets) Sorted() []*Target {
-	all := make([]*Target, 0, len(ts.known))
-	for _, t := range ts.known {
+	return sorted(ts.known)
+}
+
+func sorted(known map[netip.AddrPort]*Target) []*Target {
+	all := make([]*Target, 0, len(known))
+	for _, t := range known {
 		all = append(all, t)
 	}
 	slices.SortFunc(all, func(a, b *Target) int { return a.Address.Compare(b.Address) })
 	return all
 }
 
-// Of returns the targets of a service in the order of their addresses.
-func (ts *Targets) Of(service string) []*Target {
-	return slices.DeleteFunc(ts.Sorted(), func(t *Target) bool { return t.Service != service })
+// Each calls f for every target, in no order.
+func (ts *Targets) Each(f func(*Target)) {
+	for _, t := range ts.known {
+		f(t)
+	}
+}
+
+// want returns the targets of a service and notes that they are in use here.
+func (ts *Targets) want(now clock.Millis, service string) map[netip.AddrPort]*Target {
+	g := ts.groups[service]
+	if g == nil {
+		return nil
+	}
+	g.wanted = now
+	return g.targets
+}
+
+func (ts *Targets) put(t *Target) {
+	ts.known[t.Address] = t
+	g := ts.groups[t.Service]
+	if g == nil {
+		g = &group{targets: map[netip.AddrPort]*Target{}}
+		ts.groups[t.Service] = g
+	}
+	g.targets[t.Address] = t
+}
+
+func (ts *Targets) remove(t *Target) {
+	delete(ts.known, t.Address)
+	g := ts.groups[t.Service]
+	if g == nil {
+		return
+	}
+	delete(g.targets, t.Address)
+	if len(g.targets) == 0 {
+		delete(ts.groups, t.Service)
+	}
 }
 
 // Learn adds a target on hearsay. It is probed before it is used. A target that
@@ -134,7 +198,7 @@
 	if at, ok := ts.left[a]; ok && now.Sub(at) < tombFor {
 		return false
 	}
-	ts.known[a] = &Target{Address: a, Name: name, Domain: domain, Service: service}
+	ts.put(&Target{Address: a, Name: name, Domain: domain, Service: service})
 	return true
 }
 
@@ -145,13 +209,6 @@
 	New, Reborn, Left bool
 	// Condition tells that its condition is another one.
 	Condition bool
-	// Found tells that a suspicion has ended.
-	Found bool
-}
-
-// Any reports whether anything changed that is worth telling.
-func (c Change) Any() bool {
-	return c != Change{}
 }
 
 // Report takes what an agent says of its target. A report that was overtaken by
@@ -161,21 +218,25 @@
 	if ok && t.Heard != 0 && overtaken(t, r) {
 		return Change{}
 	}
-	c := Change{New: !ok || t.Heard == 0}
 	if !ok {
 		t = &Target{Address: from}
-		ts.known[from] = t
 		delete(ts.left, from)
 	}
-	c.Found = !c.New && t.Suspected(now)
-	c.Reborn = !c.New && t.Born != r.Born && r.Born != 0 && t.Born != 0
-	c.Condition = t.Condition != r.Condition
+	c := Change{
+		New:       t.Heard == 0,
+		Reborn:    t.Heard != 0 && t.Born != r.Born && r.Born != 0 && t.Born != 0,
+		Condition: t.Condition != r.Condition,
+	}
+	if ok {
+		ts.remove(t)
+	}
 	t.take(now, r)
 	if r.Condition == wire.Condition_CONDITION_GONE {
-		c.Left = true
-		delete(ts.known, from)
+		c.Left = ok
 		ts.left[from] = now
+		return c
 	}
+	ts.put(t)
 	return c
 }
 
@@ -190,12 +251,15 @@
 }
 
 func (t *Target) take(now clock.Millis, r *wire.Report) {
+	if t.Heard != 0 && t.Epoch != r.Epoch {
+		t.former = process{epoch: t.Epoch, born: t.Born}
+	}
 	t.Name, t.Domain, t.Service = r.Name, r.Domain, r.Service
 	t.Epoch, t.Sequence, t.Born = r.Epoch, r.Sequence, r.Born
 	t.Condition = r.Condition
 	t.Slots, t.Flows, t.Busy = int(r.Slots), int(r.Flows), float64(r.Busy)/busyScale
 	t.ColdUntil = now + clock.Millis(r.Cold)
-	t.Complete, t.Restarting = r.Complete, r.Restarting
+	t.Restarting = r.Restarting
 	t.Heard = now
 	t.placed = 0
 	t.waiting = 0
@@ -210,30 +274,35 @@
 	paused := ts.ticked != 0 && now.Sub(ts.ticked) > pausedAfter
 	ts.ticked = now
 	var due []*Target
-	for _, t := range ts.known {
-		if paused && t.waiting != 0 {
-			t.waiting = now
+	for _, g := range ts.groups {
+		resting := now.Sub(g.wanted) > restAfter
+		for _, t := range g.targets {
+			if paused && t.waiting != 0 {
+				t.waiting = now
+			}
+			if now.Sub(t.probed) < ts.pause(now, t, resting) {
+				continue
+			}
+			t.probed = now
+			if t.waiting == 0 {
+				t.waiting = now
+			}
+			ts.number++
+			t.probe = ts.number
+			due = append(due, t)
 		}
-		if now.Sub(t.probed) < ts.pause(now, t) {
-			continue
-		}
-		t.probed = now
-		if t.waiting == 0 {
-			t.waiting = now
-		}
-		ts.number++
-		t.probe = ts.number
-		due = append(due, t)
 	}
 	return due
 }
 
-func (ts *Targets) pause(now clock.Millis, t *Target) clock.Millis {
+func (ts *Targets) pause(now clock.Millis, t *Target, resting bool) clock.Millis {
 	switch {
 	case t.waiting != 0 && now.Sub(t.waiting) > suspectAfter:
 		return lostProbe
 	case t.waiting != 0:
 		return againProbe
+	case resting:
+		return restProbe
 	case t.Domain == ts.domain:
 		return nearProbe
 	default:
@@ -245,10 +314,9 @@
 // old notes of targets that left.
 func (ts *Targets) Forget(now clock.Millis) []*Target {
 	var gone []*Target
-	for a, t := range ts.known {
-		silent := t.waiting != 0 && now.Sub(t.waiting) > forgetAfter
-		if silent {
-			delete(ts.known, a)
+	for _, t := range ts.known {
+		if t.waiting != 0 && now.Sub(t.waiting) > forgetAfter {
+			ts.remove(t)
 			gone = append(gone, t)
 		}
 	}
--- a/internal/connection/stream/upstream.go
+++ b/internal/connection/stream/upstream.go
@@ -8,9 +8,18 @@
 	"github.com/wagtailtray/wagtailtray/pkg/wire"
 )
 
-// freshFlow is how young a flow may be to belong to a target that started
-// shortly before its first heartbeat.
-const freshFlow = 4 * clock.Second
+const (
+	// freshFlow is how young a flow may be to belong to a target that started
+	// shortly before its first heartbeat.
+	freshFlow = 4 * clock.Second
+	// youngAge is how old a target may be when its agent starts for no earlier
+	// process of the agent to have served it: that one would have had to start,
+	// open a flow, end and be followed within this time, and a process is started
+	// again half a second after its end at the earliest. youngSequence is how
+	// many heartbeats the target may have tried by then.
+	youngAge      = 400 * clock.Millis(1)
+	youngSequence = 3
+)
 
 // Beat is what a target says of itself in one heartbeat.
 type Beat struct {
@@ -18,6 +27,8 @@
 	// Born is the target's start, and Sequence counts its heartbeats.
 	Born     uint64
 	Sequence uint64
+	// Age is how long ago that was, by the clock of the VM.
+	Age      clock.Millis
 	Draining bool
 	Slots    int
 	// Cold is how much longer the target is slow after its start.
@@ -53,9 +64,7 @@
 	before := h.condition(now)
 	switch {
 	case !u.known:
-		// With its first heartbeat the target has had no flows yet: an
-		// earlier process of the agent opens none before it hears the target.
-		h.complete = b.Sequence <= 1
+		h.complete = h.sawAll(now, b)
 	case b.Born != u.born:
 		h.resetOlder(now, freshFlow, "the target started anew")
 		h.complete = true
@@ -70,6 +79,19 @@
 	}
 }
 
+// sawAll reports, at the first heartbeat that this process hears, that no earlier
+// process of the agent has opened flows at the target: an agent opens none before
+// it hears the target, and the target was too young for an earlier one to have
+// heard it. The VM's clock may have been set between the target's start and now,
+// so the number of heartbeats must fit as well.
+func (h *Holder) sawAll(now clock.Millis, b Beat) bool {
+	if b.Sequence <= 1 {
+		return true
+	}
+	atStart := b.Age - now.Sub(h.started)
+	return b.Sequence <= youngSequence && b.Born != 0 && atStart <= youngAge && b.Age >= 0
+}
+
 // late reports a heartbeat that was overtaken. The start of a target orders its
 // incarnations unless the VM's clock was set back between them: then the later
 // one seems older, but the one that it follows is silent.
@@ -144,13 +166,12 @@
 // report is the target's state as balancers want it.
 func (h *Holder) report(now clock.Millis, probe uint64) *wire.Report {
 	h.sequence++
-	flows, _ := h.Load(now)
 	u := &h.upstream
 	return &wire.Report{
 		Name: h.settings.Name, Domain: h.settings.Domain, Service: h.settings.Service,
 		Epoch: h.settings.Epoch, Sequence: h.sequence, Born: u.born, Condition: h.condition(now),
-		Slots: uint32(u.slots), Flows: uint32(flows), Busy: uint32(h.load * busyScale),
-		Cold: uint32(max(u.coldUntil.Sub(now), 0)), Complete: h.knowsAll(now), Restarting: h.stopping, Probe: probe,
+		Slots: uint32(u.slots), Flows: uint32(h.active), Busy: uint32(h.load * busyScale),
+		Cold: uint32(max(u.coldUntil.Sub(now), 0)), Restarting: h.stopping, Probe: probe,
 	}
 }
 
@@ -158,6 +179,11 @@
 	if p.Report == nil {
 		return
 	}
+	if former := p.Report; former.Epoch != 0 && former.Epoch != h.settings.Epoch && former.Born == h.upstream.born {
+		// The balancer heard an earlier process beside the same target, which
+		// may have opened flows that this one never saw.
+		h.complete = false
+	}
 	h.out.send(from, &wire.Parcel{Verb: wire.Verb_VERB_REPORT, Report: h.report(now, p.Report.Probe)})
 }
 
--- a/internal/process/decisions/decisions.go
+++ b/internal/process/decisions/decisions.go
@@ -41,8 +41,7 @@
 // Writer returns a writer that never blocks, and a function that writes what
 // still waits. Lines that find no room are lost and counted in a line.
 func Writer(w io.Writer) (io.Writer, func()) {
-	var out diode.Writer
-	out = diode.NewWriter(w, kept, 0, func(missed int) {
+	out := diode.NewWriter(w, kept, 0, func(missed int) {
 		// The diode calls this from its own goroutine, after it has made room.
 		l := zerolog.New(w)
 		l.Warn().Str("event", "loglost").Int("lines", missed).Msg("the reader of the log is too slow")
--- a/internal/process/streamagent/agent.go
+++ b/internal/process/streamagent/agent.go
@@ -366,8 +366,9 @@
 	a.holder.Stop(now)
 	a.tell(now, true)
 	a.flush()
+	left, flows := a.holder.Gone(), a.holder.Flows()
 	a.mu.Unlock()
-	a.deps.Log.Info().Str("event", "stop").Bool("left", a.holder.Gone()).Msg("agent stopped")
+	a.deps.Log.Info().Str("event", "stop").Bool("left", left).Int("flows", flows).Msg("agent stopped")
 	a.cancel()
 	err := errs.Combine(a.parcels.Close(), errs.Wrap(a.outbound.Close()))
 	if err != nil {
--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -162,7 +162,7 @@
 		return errs.Combine(err, b.edge.Close())
 	}
 	b.parcels.Malformed = func(netip.AddrPort) { b.malformed.Inc(1) }
-	if b.calls, err = net.Listen("tcp4", b.settings.Parcels.String()); err != nil {
+	if b.calls, err = net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(b.settings.Parcels)); err != nil {
 		return errs.Combine(errs.Wrap(err), b.edge.Close(), b.parcels.Close())
 	}
 	return nil
@@ -172,7 +172,7 @@
 func (b *Balancer) SetSeeds(seeds []netip.AddrPort) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.peers.Seed(seeds)
+	b.peers.Seed(b.deps.Clock.Now(), seeds)
 }
 
 // serveEdge takes callers' packets.
@@ -214,7 +214,9 @@
 			b.deps.Log.Info().Str("event", "inherited").Stringer("from", from).Int("flows", n).Send()
 		}
 	default:
-		b.steerer.Hear(now, from, p, seg)
+		if t, added := b.steerer.Hear(now, from, p, seg); added {
+			b.announce(now, t)
+		}
 	}
 	b.flush()
 }
--- a/internal/process/streambalancer/configure.go
+++ b/internal/process/streambalancer/configure.go
@@ -13,6 +13,11 @@
 	// callTimeout bounds a call to a peer or to the platform, which answer in
 	// milliseconds. A slow platform answers in a few hundred.
 	callTimeout = 1500 * time.Millisecond
+	// firstRead bounds a first call for the configuration, together with as much
+	// again at random. A platform that is away may hold calls without an answer;
+	// balancers that give up at different times find its return soon, and one
+	// that finds it tells the others. A slow one answers in some 400 ms.
+	firstRead = 500 * time.Millisecond
 	// firstRetry and lastRetry are the pauses after failed calls, doubling.
 	// The platform may be away for most of a day and is to be found within a
 	// second of its return.
@@ -89,7 +94,7 @@
 }
 
 func (b *Balancer) read(ctx context.Context) (*routing.Table, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, firstRead+rand.N(firstRead))
 	defer cancel()
 	return b.deps.Source.Read(ctx)
 }
@@ -177,7 +182,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, e := range entries {
-		b.peers.Learn(e.Address, e.Name, e.Domain)
+		b.peers.Learn(b.deps.Clock.Now(), e.Address, e.Name, e.Domain)
 	}
 	b.deps.Log.Info().Str("event", "registered").Int("entries", len(entries)).Send()
 	return true
--- a/internal/process/streambalancer/news.go
+++ b/internal/process/streambalancer/news.go
@@ -6,6 +6,7 @@
 
 	"github.com/zeebo/xxh3"
 
+	"github.com/wagtailtray/wagtailtray/internal/connection/stream"
 	"github.com/wagtailtray/wagtailtray/internal/request/segment"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
 	"github.com/wagtailtray/wagtailtray/pkg/wire"
@@ -19,57 +20,47 @@
 const contactsPerParcel = 60
 
 // news is what this balancer tells another one. The lock is held.
-func (b *Balancer) news(ask bool) *wire.News {
+func (b *Balancer) news() *wire.News {
 	self := &b.peers.self
-	n := &wire.News{
+	return &wire.News{
 		Self:  contact(self.Address, self.Name, self.Domain, ""),
-		Epoch: self.Epoch, Digest: b.digest(), Watching: b.watching, Leaving: b.leaving, Ask: ask,
+		Epoch: self.Epoch, Digest: b.digest(), Watching: b.watching, Leaving: b.leaving, Version: b.version(),
 	}
-	if t := b.steerer.Table(); t != nil {
-		n.Version = t.Version
-	}
-	return n
 }
 
 func contact(a netip.AddrPort, name, domain, service string) *wire.Contact {
 	return &wire.Contact{Address: segment.AppendAddress(nil, a), Name: name, Domain: domain, Service: service}
 }
 
-// contacts is everybody that this balancer knows from themselves. What is only
-// hearsay is not told on, or a lost process would be told around for ever.
-func (b *Balancer) contacts(now clock.Millis) []*wire.Contact {
-	var all []*wire.Contact
-	for _, t := range b.steerer.Targets.Sorted() {
+// contacts is everybody that this balancer hears itself. Hearsay is not told on,
+// or a lost process would be told around for ever.
+func (b *Balancer) contacts(each func(a netip.AddrPort, c func() *wire.Contact)) {
+	now := b.deps.Clock.Now()
+	b.steerer.Targets.Each(func(t *stream.Target) {
 		if !t.Suspected(now) {
-			all = append(all, contact(t.Address, t.Name, t.Domain, t.Service))
+			each(t.Address, func() *wire.Contact { return contact(t.Address, t.Name, t.Domain, t.Service) })
 		}
-	}
-	for _, p := range b.peers.Sorted() {
+	})
+	b.peers.Each(func(p *Peer) {
 		if p.Live(now) {
-			all = append(all, contact(p.Address, p.Name, p.Domain, ""))
+			each(p.Address, func() *wire.Contact { return contact(p.Address, p.Name, p.Domain, "") })
 		}
-	}
-	return all
+	})
+	self := &b.peers.self
+	each(self.Address, func() *wire.Contact { return contact(self.Address, self.Name, self.Domain, "") })
+}
+
+// hash stands for a contact where balancers compare whom they know.
+func hash(a netip.AddrPort) uint64 {
+	var room [8]byte
+	return xxh3.Hash(segment.AppendAddress(room[:0], a))
 }
 
 // digest is a hash over who is known. Two balancers with the same digest have
 // nothing to tell each other.
 func (b *Balancer) digest() uint64 {
 	var sum uint64
-	var room [8]byte
-	now := b.deps.Clock.Now()
-	add := func(a netip.AddrPort) { sum ^= xxh3.Hash(segment.AppendAddress(room[:0], a)) }
-	for _, t := range b.steerer.Targets.Sorted() {
-		if !t.Suspected(now) {
-			add(t.Address)
-		}
-	}
-	for _, p := range b.peers.Sorted() {
-		if p.Live(now) {
-			add(p.Address)
-		}
-	}
-	add(b.peers.self.Address)
+	b.contacts(func(a netip.AddrPort, _ func() *wire.Contact) { sum ^= hash(a) })
 	return sum
 }
 
@@ -81,13 +72,12 @@
 		b.tellAll(now)
 	}
 	b.steerer.SetSettled(b.peers.Settled(now, digest))
-	due := b.peers.Due(now)
-	if len(due) > 0 {
-		n := b.news(false)
-		for _, p := range due {
-			n.Ask = !p.Live(now)
-			b.send(p.Address, &wire.Parcel{Verb: wire.Verb_VERB_NEWS, News: n})
+	for _, p := range b.peers.Due(now) {
+		n := b.news()
+		if !p.Live(now) {
+			b.question(n)
 		}
+		b.send(p.Address, &wire.Parcel{Verb: wire.Verb_VERB_NEWS, News: n})
 	}
 	for _, p := range b.peers.Forget(now) {
 		b.deps.Log.Info().Str("event", "peergone").Stringer("peer", p.Address).Str("name", p.Name).Send()
@@ -97,16 +87,32 @@
 	}
 }
 
-// tellAll tells all neighbours at once: a version has come into force, or this
-// balancer leaves.
+// question makes news ask for the contacts that this balancer does not know.
+func (b *Balancer) question(n *wire.News) {
+	n.Ask = true
+	b.contacts(func(a netip.AddrPort, _ func() *wire.Contact) { n.Known = append(n.Known, uint32(hash(a))) })
+}
+
+// tellAll tells all neighbours at once: a version has come into force, who is
+// known has changed, or this balancer leaves.
 func (b *Balancer) tellAll(now clock.Millis) {
-	n := b.news(false)
+	n := b.news()
 	for _, p := range b.peers.Neighbours(now) {
 		p.told = now
 		b.send(p.Address, &wire.Parcel{Verb: wire.Verb_VERB_NEWS, News: n})
 	}
 }
 
+// announce tells all neighbours of a target that has just been heard, before the
+// first flow is opened there.
+func (b *Balancer) announce(now clock.Millis, t *stream.Target) {
+	n := b.news()
+	n.Contacts = []*wire.Contact{contact(t.Address, t.Name, t.Domain, t.Service)}
+	for _, p := range b.peers.Neighbours(now) {
+		b.send(p.Address, &wire.Parcel{Verb: wire.Verb_VERB_NEWS, News: n})
+	}
+}
+
 // takeNews takes what another balancer tells. The lock is held.
 func (b *Balancer) takeNews(now clock.Millis, from netip.AddrPort, n *wire.News) {
 	if n == nil || n.Self == nil {
@@ -121,9 +127,13 @@
 		b.deps.Log.Info().Str("event", "peer").Stringer("peer", from).Str("name", n.Self.Name).
 			Str("domain", n.Self.Domain).Uint64("version", n.Version).Send()
 	}
-	differs := n.Digest != b.digest() && len(n.Contacts) == 0
-	if !b.leaving && (n.Ask || fresh || differs) && b.peers.TellContacts(now, from, n.Ask || fresh) {
-		b.tellContacts(now, from)
+	if n.Ask && !b.leaving {
+		b.tellContacts(from, n.Known)
+	}
+	if n.Digest != b.digest() && !n.Leaving && b.peers.Ask(now, from) {
+		q := b.news()
+		b.question(q)
+		b.send(from, &wire.Parcel{Verb: wire.Verb_VERB_NEWS, News: q})
 	}
 	if fresh && n.Self.Domain == b.settings.Domain {
 		b.tellOwners(now, from)
@@ -148,17 +158,27 @@
 			continue
 		}
 		if c.Service == "" {
-			b.peers.Learn(a, c.Name, c.Domain)
+			b.peers.Learn(now, a, c.Name, c.Domain)
 			continue
 		}
 		b.steerer.Targets.Learn(now, a, c.Name, c.Domain, c.Service)
 	}
 }
 
-func (b *Balancer) tellContacts(now clock.Millis, to netip.AddrPort) {
-	all := b.contacts(now)
+// tellContacts tells another balancer whom it does not know.
+func (b *Balancer) tellContacts(to netip.AddrPort, known []uint32) {
+	have := make(map[uint32]bool, len(known))
+	for _, h := range known {
+		have[h] = true
+	}
+	var all []*wire.Contact
+	b.contacts(func(a netip.AddrPort, c func() *wire.Contact) {
+		if !have[uint32(hash(a))] {
+			all = append(all, c())
+		}
+	})
 	for len(all) > 0 {
-		n := b.news(false)
+		n := b.news()
 		size := min(len(all), contactsPerParcel)
 		n.Contacts, all = all[:size], all[size:]
 		b.send(to, &wire.Parcel{Verb: wire.Verb_VERB_NEWS, News: n})
--- a/internal/process/streambalancer/peers.go
+++ b/internal/process/streambalancer/peers.go
@@ -18,9 +18,10 @@
 	// peerLive is the silence after which a balancer no longer counts as there:
 	// two lost datagrams.
 	peerLive = 2500 * clock.Millis(1)
-	// contactsEvery is the least pause between two tellings of all contacts to one
-	// balancer.
-	contactsEvery = 400 * clock.Millis(1)
+	// askEvery is the least pause between two questions to one balancer about
+	// the contacts that it knows and this one does not. A new target is told at
+	// once; the question repairs what was lost.
+	askEvery = clock.Second
 	// peerKnown is the silence after which a balancer is forgotten.
 	peerKnown = 60 * clock.Second
 	// retryPeer is how often a silent balancer is tried.
@@ -57,8 +58,9 @@
 	// Heard is when its last news came; zero if none did.
 	Heard clock.Millis
 
-	told     clock.Millis
-	contacts clock.Millis
+	learned clock.Millis
+	told    clock.Millis
+	asked   clock.Millis
 	// unwatched is since when it is there without reading the platform.
 	unwatched clock.Millis
 }
@@ -80,23 +82,23 @@
 // NewPeers returns the peers of a balancer that has just started.
 func NewPeers(now clock.Millis, self Peer, seeds []netip.AddrPort) *Peers {
 	ps := &Peers{self: self, started: now, known: map[netip.AddrPort]*Peer{}}
-	ps.Seed(seeds)
+	ps.Seed(now, seeds)
 	return ps
 }
 
 // Seed adds balancers that are known by address only.
-func (ps *Peers) Seed(seeds []netip.AddrPort) {
+func (ps *Peers) Seed(now clock.Millis, seeds []netip.AddrPort) {
 	for _, a := range seeds {
-		ps.Learn(a, "", "")
+		ps.Learn(now, a, "", "")
 	}
 }
 
 // Learn adds a balancer on hearsay.
-func (ps *Peers) Learn(a netip.AddrPort, name, domain string) bool {
+func (ps *Peers) Learn(now clock.Millis, a netip.AddrPort, name, domain string) bool {
 	if a == ps.self.Address || ps.known[a] != nil {
 		return false
 	}
-	ps.known[a] = &Peer{Address: a, Name: name, Domain: domain}
+	ps.known[a] = &Peer{Address: a, Name: name, Domain: domain, learned: now}
 	return true
 }
 
@@ -124,6 +126,13 @@
 	return fresh
 }
 
+// Each calls f for every peer, in no order.
+func (ps *Peers) Each(f func(*Peer)) {
+	for _, p := range ps.known {
+		f(p)
+	}
+}
+
 // Sorted returns the peers in the order of their addresses.
 func (ps *Peers) Sorted() []*Peer {
 	all := make([]*Peer, 0, len(ps.known))
@@ -199,14 +208,14 @@
 	return farNews
 }
 
-// TellContacts reports whether a balancer that knows others than this one is to
-// be told all contacts now. A difference of a moment passes by itself.
-func (ps *Peers) TellContacts(now clock.Millis, a netip.AddrPort, ask bool) bool {
+// Ask reports whether a balancer that knows others than this one is to be asked
+// for them now, and notes that it is.
+func (ps *Peers) Ask(now clock.Millis, a netip.AddrPort) bool {
 	p := ps.known[a]
-	if p == nil || !ask && now.Sub(p.contacts) < contactsEvery {
+	if p == nil || now.Sub(p.asked) < askEvery {
 		return false
 	}
-	p.contacts = now
+	p.asked = now
 	return true
 }
 
@@ -270,8 +279,7 @@
 func (ps *Peers) Forget(now clock.Millis) []*Peer {
 	var gone []*Peer
 	for a, p := range ps.known {
-		since := max(p.Heard, ps.started)
-		if now.Sub(since) > peerKnown {
+		if now.Sub(max(p.Heard, p.learned)) > peerKnown {
 			delete(ps.known, a)
 			gone = append(gone, p)
 		}
