A look whether a silent target listens; flows leave their domain only from overload

A crashed target is now seen by its closed port, within half a second, and its callers are told. Ruled out: agents with young targets (all 49 knew that they were new).

--- a/internal/connection/stream/choose.go
+++ b/internal/connection/stream/choose.go
@@ -11,12 +11,13 @@
 	// coldFactor is how much dearer a target is that has just started and
 	// works slower for some seconds.
 	coldFactor = 1.6
-	// crossing is by how much of its slots the least loaded target of the own
-	// failure domain must be busier before a flow leaves the domain. Packets
-	// between domains are paid for by the byte, for as long as the flow lives:
-	// at half load a target answers as fast as an idle one, so a flow goes out
-	// only where its own domain would be overloaded.
-	crossing = 0.5
+	// overload is the part of its slots in use from which a target answers
+	// noticeably later, and crossing by how much less a target elsewhere must be
+	// loaded for a flow to leave its failure domain. Packets between domains are
+	// paid for by the byte for as long as the flow lives, so a flow goes out only
+	// where its own domain is overloaded and another one clearly is not.
+	overload = 0.9
+	crossing = 0.3
 	// leastFlowLoad is what a flow counts for where no requests were seen yet,
 	// in requests under way.
 	leastFlowLoad = 0.01
@@ -53,28 +54,50 @@
 	if now < t.ColdUntil {
 		c *= coldFactor
 	}
-	if t.Domain != ts.domain {
-		c += crossing
-	}
 	return c
 }
 
+// pick is the best target so far.
+type pick struct {
+	target *Target
+	cost   float64
+}
+
+func (p *pick) offer(t *Target, cost float64) {
+	if p.target == nil || cost < p.cost || cost == p.cost && t.Address.Compare(p.target.Address) < 0 {
+		*p = pick{target: t, cost: cost}
+	}
+}
+
 // Choose returns the target for a new flow of a service that was not tried yet:
-// the one that costs least. Targets that are suspected or not known to be ready
-// are left out; with none left, the result is false.
+// the least loaded one of the balancer's own failure domain, unless that is
+// overloaded and one elsewhere is not. Targets that are suspected or not known to
+// be ready are left out; with none left, the result is false.
+//
+// Failure: all callers come back at the same moment. Symptom: each balancer
+// counts what it has placed at home since the last reports and sends the rest to
+// other failure domains, which it knows nothing of, while their balancers do the
+// same. So what was placed at home counts elsewhere too: others place as many.
 func (ts *Targets) Choose(now clock.Millis, service string, tried []netip.AddrPort) (*Target, bool) {
-	var best *Target
-	var least float64
+	var near, far pick
 	targets := ts.want(now, service)
 	each := flowLoad(targets)
+	placed := 0.0
 	for _, t := range targets {
 		if !t.Opens(now) || slices.Contains(tried, t.Address) {
 			continue
 		}
 		c := ts.cost(now, t, each)
-		if best == nil || c < least || c == least && t.Address.Compare(best.Address) < 0 {
-			best, least = t, c
+		if t.Domain != ts.domain {
+			far.offer(t, c)
+			continue
 		}
+		near.offer(t, c)
+		placed = max(placed, each*float64(t.placed)/float64(max(t.Slots, 1)))
+	}
+	best := near.target
+	if best == nil || near.cost > overload && far.target != nil && far.cost+placed+crossing < near.cost {
+		best = far.target
 	}
 	if best == nil {
 		return nil, false
--- a/internal/connection/stream/hold.go
+++ b/internal/connection/stream/hold.go
@@ -44,8 +44,9 @@
 	Flows int
 	// FlowLife is how long a flow may live.
 	FlowLife clock.Millis
-	// SilentAfter is how long the target may miss its heartbeats until it
-	// gets no new flows.
+	// Heartbeat is the pause between two heartbeats of the target, and SilentAfter
+	// how long it may miss them until it gets no new flows.
+	Heartbeat   clock.Millis
 	SilentAfter clock.Millis
 }
 
@@ -157,6 +158,9 @@
 		h.active++
 	}
 	f.from, f.lastIn = from, now
+	if h.upstream.unanswered == 0 {
+		h.upstream.unanswered = now
+	}
 	h.deliver(from, p.Packet)
 }
 
@@ -235,31 +239,37 @@
 // knowsAll reports that no open flow of the target began before the agent was
 // there to see it.
 func (h *Holder) knowsAll(now clock.Millis) bool {
-	return h.complete || now.Sub(h.started) > h.settings.FlowLife || h.upstream.gone
+	return h.complete || now.Sub(h.started) > h.settings.FlowLife || h.upstream.gone || h.upstream.down()
 }
 
 func (h *Holder) asked(now clock.Millis, from netip.AddrPort, p *wire.Parcel) {
-	id, err := segment.ParseFlow(p.Flow)
-	if err != nil {
-		return
+	answers := make([]*wire.Answer, 0, len(p.Questions))
+	for _, q := range p.Questions {
+		id, err := segment.ParseFlow(q.Flow)
+		if err != nil {
+			continue
+		}
+		answers = append(answers, &wire.Answer{Flow: q.Flow, Holding: h.holding(now, id, q.Ack)})
 	}
-	h.answer(from, p.Flow, h.holding(now, id, p.Ack))
+	h.out.send(from, &wire.Parcel{Verb: wire.Verb_VERB_ANSWER, Answers: answers})
 }
 
-func (h *Holder) answer(to netip.AddrPort, flow []byte, holding wire.Holding) {
-	h.out.send(to, &wire.Parcel{Verb: wire.Verb_VERB_ANSWER, Flow: flow, Holding: holding})
+func (h *Holder) answer(to netip.AddrPort, id segment.Flow, holding wire.Holding) {
+	h.out.send(to, &wire.Parcel{Verb: wire.Verb_VERB_ANSWER, Answers: []*wire.Answer{
+		{Flow: segment.AppendFlow(nil, id), Holding: holding},
+	}})
 }
 
 func (h *Holder) own(id segment.Flow, f *held) {
 	if f.from.IsValid() {
-		h.answer(f.from, segment.AppendFlow(nil, id), wire.Holding_HOLDING_OWNED)
+		h.answer(f.from, id, wire.Holding_HOLDING_OWNED)
 	}
 }
 
 // FromTarget takes a packet of the target: one that it sends to a caller, or a
 // caller's that it returns.
 func (h *Holder) FromTarget(now clock.Millis, seg *segment.Segment, packet []byte) {
-	h.upstream.seen = now
+	h.upstream.sign(now)
 	if seg.Flags.Has(segment.Returned) {
 		h.returned(now, seg, packet)
 		return
@@ -277,7 +287,6 @@
 	}
 	if seg.Flags.Has(segment.Opens) {
 		f.seq, f.accepted = seg.Seq, true
-		h.upstream.unanswered = 0
 		h.own(id, f)
 	}
 	if seg.Size > 0 || seg.Flags&(segment.Ends|segment.Resets) != 0 {
@@ -307,7 +316,7 @@
 	h.denied.Add(id, struct{}{})
 	if ok && f.guess {
 		// A search handed the packet here, and its balancer has kept it.
-		h.answer(to, segment.AppendFlow(nil, id), wire.Holding_HOLDING_NOT)
+		h.answer(to, id, wire.Holding_HOLDING_NOT)
 		return
 	}
 	h.giveBack(now, to, packet, wire.Cause_CAUSE_UNOWNED)
--- a/internal/connection/stream/search.go
+++ b/internal/connection/stream/search.go
@@ -115,9 +115,7 @@
 }
 
 func (s *Steerer) question(id segment.Flow, x *search, to netip.AddrPort) {
-	s.out.send(to, &wire.Parcel{
-		Verb: wire.Verb_VERB_ASK, Flow: segment.AppendFlow(nil, id), Ack: x.flow.ack,
-	})
+	s.questions.add(to, &wire.Question{Flow: segment.AppendFlow(nil, id), Ack: x.flow.ack})
 }
 
 func (s *Steerer) within(at stage, id segment.Flow, t *Target) bool {
@@ -197,20 +195,20 @@
 }
 
 // heard takes an answer to a search.
-func (s *Steerer) heard(now clock.Millis, id segment.Flow, f *flow, from netip.AddrPort, p *wire.Parcel) {
+func (s *Steerer) heard(now clock.Millis, id segment.Flow, f *flow, from netip.AddrPort, holding wire.Holding) {
 	x := f.search
 	q := x.asked[from]
 	if q == nil {
 		return
 	}
-	switch p.Holding {
+	switch holding {
 	case wire.Holding_HOLDING_OWNED:
 		s.found(now, id, f, from)
 	case wire.Holding_HOLDING_NOT:
 		s.denied(now, id, f, from)
 	case wire.Holding_HOLDING_UNSURE:
 		if q.holding != wire.Holding_HOLDING_NOT {
-			q.holding = p.Holding
+			q.holding = holding
 			s.hand(x, from, q)
 		}
 	}
--- a/internal/connection/stream/steer.go
+++ b/internal/connection/stream/steer.go
@@ -49,10 +49,12 @@
 	Targets  *Targets
 	flows    *simplelru.LRU[segment.Flow, *flow]
 	searches map[segment.Flow]*search
-	suspects map[netip.AddrPort]bool
-	table    *routing.Table
-	history  *routing.History
-	// settled tells that all balancers know the same targets.
+	// questions are those that were not sent yet.
+	questions questions
+	suspects  map[netip.AddrPort]bool
+	table     *routing.Table
+	history   *routing.History
+	// settled tells that this balancer knows all targets that others do.
 	settled bool
 	out     Outcome
 }
@@ -61,8 +63,9 @@
 func NewSteerer(settings Settings) *Steerer {
 	s := &Steerer{
 		settings: settings, Targets: NewTargets(settings.Domain),
-		searches: map[segment.Flow]*search{}, suspects: map[netip.AddrPort]bool{},
-		history: routing.NewHistory(settings.FlowLife.Duration()),
+		searches: map[segment.Flow]*search{}, questions: questions{waiting: map[netip.AddrPort][]*wire.Question{}},
+		suspects: map[netip.AddrPort]bool{},
+		history:  routing.NewHistory(settings.FlowLife.Duration()),
 	}
 	s.flows, _ = simplelru.NewLRU[segment.Flow, *flow](max(settings.Flows, 1), nil)
 	return s
@@ -91,8 +94,8 @@
 	return s.table
 }
 
-// SetSettled tells whether all balancers know the same targets, and have done so
-// for long enough to have told each other of any new one.
+// SetSettled tells whether this balancer knows all targets that others do, and
+// has done so for long enough to have been told of any new one.
 func (s *Steerer) SetSettled(settled bool) {
 	s.settled = settled
 }
@@ -117,6 +120,7 @@
 // Arrive takes a packet of a caller. The packet may be reused afterwards only
 // when the outcome was taken and sent.
 func (s *Steerer) Arrive(now clock.Millis, seg *segment.Segment, packet []byte) {
+	defer s.questions.flush(now, &s.out)
 	id := seg.FromCaller()
 	f, known := s.flows.Get(id)
 	if seg.Opening() {
@@ -157,8 +161,8 @@
 }
 
 // trusted reports that this balancer may tell callers that a flow is over: it
-// hears most targets, so it is not the one that is cut off, and it knows the same
-// targets as the others.
+// hears most targets, so it is not the one that is cut off, and it knows all
+// targets that others do.
 func (s *Steerer) trusted(now clock.Millis) bool {
 	answering, all := s.Targets.Answering(now)
 	return s.settled && 2*answering > all
@@ -294,8 +298,11 @@
 	case wire.Verb_VERB_RETURN:
 		s.returned(now, from, p, seg)
 	case wire.Verb_VERB_ANSWER:
-		s.answered(now, from, p)
+		for _, a := range p.Answers {
+			s.answered(now, from, a)
+		}
 	}
+	s.questions.flush(now, &s.out)
 	if !added {
 		return nil, false
 	}
@@ -363,8 +370,8 @@
 }
 
 // answered takes an agent's word about a flow.
-func (s *Steerer) answered(now clock.Millis, from netip.AddrPort, p *wire.Parcel) {
-	id, err := segment.ParseFlow(p.Flow)
+func (s *Steerer) answered(now clock.Millis, from netip.AddrPort, a *wire.Answer) {
+	id, err := segment.ParseFlow(a.Flow)
 	if err != nil {
 		return
 	}
@@ -373,10 +380,10 @@
 		return
 	}
 	if f.search != nil {
-		s.heard(now, id, f, from, p)
+		s.heard(now, id, f, from, a.Holding)
 		return
 	}
-	if p.Holding != wire.Holding_HOLDING_OWNED || f.taken {
+	if a.Holding != wire.Holding_HOLDING_OWNED || f.taken {
 		return
 	}
 	f.taken = true
@@ -396,6 +403,7 @@
 	for id, x := range s.searches {
 		s.advance(now, id, x)
 	}
+	s.questions.flush(now, &s.out)
 	for _, t := range s.Targets.Forget(now) {
 		s.out.note(Event{Kind: TargetGone, Target: t.Address, Name: t.Name, Service: t.Service, Reason: "silent", Age: now.Sub(t.Heard)})
 	}
--- a/internal/connection/stream/upstream.go
+++ b/internal/connection/stream/upstream.go
@@ -19,6 +19,13 @@
 	// many heartbeats the target may have tried by then.
 	youngAge      = 400 * clock.Millis(1)
 	youngSequence = 3
+	// answerWithin is how long a target may take to answer or return an opening.
+	// It does so in less than a millisecond, unless it is short of processor time.
+	answerWithin = 150 * clock.Millis(1)
+	// checkEvery is the pause between two looks whether the target is there, and
+	// absences how many in a row must find nobody.
+	checkEvery = 200 * clock.Millis(1)
+	absences   = 2
 )
 
 // Beat is what a target says of itself in one heartbeat.
@@ -47,8 +54,23 @@
 	// beat is when the last heartbeat came, and seen the last sign of life.
 	beat clock.Millis
 	seen clock.Millis
-	// unanswered counts openings without an answer since the last one.
-	unanswered int
+	// unanswered is when the first opening was handed over since the target's
+	// last packet; zero if none was.
+	unanswered clock.Millis
+	// checked is when it was last looked whether the target is there, and absent
+	// how often in a row nobody was.
+	checked clock.Millis
+	absent  int
+}
+
+// sign notes a sign of life.
+func (u *upstream) sign(now clock.Millis) {
+	u.seen, u.unanswered, u.absent = now, 0, 0
+}
+
+// down reports that there is no target process.
+func (u *upstream) down() bool {
+	return u.absent >= absences
 }
 
 // Beat takes a heartbeat of the target. It is to be acknowledged after this: the
@@ -73,9 +95,14 @@
 	u.known, u.gone = true, false
 	u.born, u.sequence, u.draining = b.Born, b.Sequence, b.Draining
 	u.slots, u.coldUntil = b.Slots, now+b.Cold
-	u.beat, u.seen = now, now
+	u.beat = now
+	u.sign(now)
 	if after := h.condition(now); after != before {
-		h.out.note(Event{Kind: Upstream, Reason: after.String(), Service: h.settings.Service, Count: int(b.Sequence)})
+		reason := after.String()
+		if !h.complete {
+			reason += ", its earlier flows are not known"
+		}
+		h.out.note(Event{Kind: Upstream, Reason: reason, Service: h.settings.Service, Count: int(b.Sequence), Age: b.Age})
 	}
 }
 
@@ -111,6 +138,39 @@
 	h.out.note(Event{Kind: Upstream, Reason: "left", Service: h.settings.Service, Age: now.Sub(h.upstream.beat)})
 }
 
+// Doubts reports that it is to be looked whether the target is there, and notes
+// that it is done.
+//
+// Failure: the target crashes. Symptom: openings and requests go to nobody until
+// its heartbeats are missed, and callers wait until their patience ends. A
+// crashed process no longer listens, which its own VM says at once.
+func (h *Holder) Doubts(now clock.Millis) bool {
+	u := &h.upstream
+	silent := !u.known || now.Sub(u.beat) > h.settings.Heartbeat+h.settings.Heartbeat/2
+	stuck := u.unanswered != 0 && now.Sub(u.unanswered) > answerWithin
+	if u.gone || !silent && !stuck || now.Sub(u.checked) < checkEvery {
+		return false
+	}
+	u.checked = now
+	return true
+}
+
+// Checked takes what a look has found: whether anybody listens at the target's
+// address.
+func (h *Holder) Checked(now clock.Millis, listens bool) {
+	u := &h.upstream
+	if listens {
+		u.absent = 0
+		return
+	}
+	before := u.down()
+	u.absent++
+	if !before && u.down() && u.known {
+		h.out.note(Event{Kind: Upstream, Reason: "nobody listens", Service: h.settings.Service, Age: now.Sub(u.seen)})
+		h.resetOlder(now, 0, "the target has crashed")
+	}
+}
+
 // Stop tells the callers of flows whose target has ended. It must only be called
 // once the process ends: where the target has left, it has ended before its
 // agent is told to.
@@ -141,7 +201,9 @@
 			ended++
 		}
 	}
-	h.out.note(Event{Kind: Ended, Service: h.settings.Service, Reason: reason, Count: ended})
+	if ended > 0 {
+		h.out.note(Event{Kind: Ended, Service: h.settings.Service, Reason: reason, Count: ended})
+	}
 }
 
 // Accepting reports whether the target takes new flows.
@@ -154,7 +216,7 @@
 	switch {
 	case u.gone:
 		return wire.Condition_CONDITION_GONE
-	case !u.known || now.Sub(u.beat) > h.settings.SilentAfter:
+	case !u.known || u.down() || now.Sub(u.beat) > h.settings.SilentAfter:
 		return wire.Condition_CONDITION_UNKNOWN
 	case u.draining:
 		return wire.Condition_CONDITION_DRAINING
--- a/internal/process/streamagent/agent.go
+++ b/internal/process/streamagent/agent.go
@@ -20,10 +20,12 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -95,6 +97,12 @@
 // thousand, and flows that have ended are kept for some seconds.
 const mostFlows = 32768
 
+// missedBeats is how many heartbeats a target may miss until it gets no new flows.
+const missedBeats = 3
+
+// lookTimeout bounds a look whether the target listens; it is on the same VM.
+const lookTimeout = 200 * time.Millisecond
+
 // Agent is one agent.
 type Agent struct {
 	settings Settings
@@ -132,7 +140,7 @@
 	a.holder = stream.NewHolder(now, stream.HolderSettings{
 		Name: settings.Name, Domain: settings.Domain, Service: settings.Service,
 		Epoch: uint64(time.Now().UnixMilli()), Port: settings.Parcels.Port(), Flows: mostFlows,
-		FlowLife: settings.FlowLife, SilentAfter: 3 * settings.Heartbeat,
+		FlowLife: settings.FlowLife, Heartbeat: settings.Heartbeat, SilentAfter: missedBeats * settings.Heartbeat,
 	})
 	a.SetSeeds(settings.Seeds)
 	var err error
@@ -315,9 +323,38 @@
 		now := a.deps.Clock.Now()
 		a.holder.Tick(now)
 		a.tell(now, false)
+		doubts := a.holder.Doubts(now)
 		a.flush()
 		a.mu.Unlock()
+		if doubts {
+			a.look(ctx)
+		}
+	}
+}
+
+// look finds out whether anybody listens at the target's address. Only a refusal
+// says that nobody does; a connection that is not made in time says nothing.
+func (a *Agent) look(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
+	defer cancel()
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", a.settings.Target.String())
+	if err != nil && !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	if err == nil {
+		if err := conn.Close(); err != nil {
+			a.deps.Log.Debug().Str("event", "look").Err(err).Send()
+		}
 	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.deps.Clock.Now()
+	before := a.holder.Accepting(now)
+	a.holder.Checked(now, err == nil)
+	if a.holder.Accepting(now) != before {
+		a.tell(now, true)
+	}
+	a.flush()
 }
 
 // finds looks for balancers while none probes this target.
--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -110,6 +110,8 @@
 	// told is the digest of the last news to all neighbours, at toldAt.
 	told   uint64
 	toldAt clock.Millis
+	// settled tells that this balancer knows all targets that others do.
+	settled bool
 	// watching tells that the last call of the watch was answered.
 	watching bool
 
--- a/internal/process/streambalancer/news.go
+++ b/internal/process/streambalancer/news.go
@@ -32,12 +32,12 @@
 	return &wire.Contact{Address: segment.AppendAddress(nil, a), Name: name, Domain: domain, Service: service}
 }
 
-// contacts is everybody that this balancer hears itself. Hearsay is not told on,
-// or a lost process would be told around for ever.
+// contacts is the targets and balancers that answer this one itself. Hearsay is
+// not told on, or a lost process would be told around for ever.
 func (b *Balancer) contacts(each func(a netip.AddrPort, c func() *wire.Contact)) {
 	now := b.deps.Clock.Now()
 	b.steerer.Targets.Each(func(t *stream.Target) {
-		if !t.Suspected(now) {
+		if t.Heard != 0 && !t.Lost(now) {
 			each(t.Address, func() *wire.Contact { return contact(t.Address, t.Name, t.Domain, t.Service) })
 		}
 	})
@@ -56,11 +56,16 @@
 	return xxh3.Hash(segment.AppendAddress(room[:0], a))
 }
 
-// digest is a hash over who is known. Two balancers with the same digest have
-// nothing to tell each other.
+// digest is a hash over the targets that this balancer has heard. Two balancers
+// with the same digest have nothing to tell each other. A target that has fallen
+// silent stays in it: balancers notice that at different times.
 func (b *Balancer) digest() uint64 {
 	var sum uint64
-	b.contacts(func(a netip.AddrPort, _ func() *wire.Contact) { sum ^= hash(a) })
+	b.steerer.Targets.Each(func(t *stream.Target) {
+		if t.Heard != 0 {
+			sum ^= hash(t.Address)
+		}
+	})
 	return sum
 }
 
@@ -71,10 +76,11 @@
 		b.told, b.toldAt = digest, now
 		b.tellAll(now)
 	}
-	b.steerer.SetSettled(b.peers.Settled(now, digest))
+	b.setSettled(b.peers.Settled(now, digest))
 	for _, p := range b.peers.Due(now) {
 		n := b.news()
-		if !p.Live(now) {
+		n.Chose = p.chosen != 0
+		if p.Heard == 0 {
 			b.question(n)
 		}
 		b.send(p.Address, &wire.Parcel{Verb: wire.Verb_VERB_NEWS, News: n})
@@ -87,16 +93,31 @@
 	}
 }
 
-// question makes news ask for the contacts that this balancer does not know.
+// setSettled tells the decisions whether balancers agree on who there is.
+func (b *Balancer) setSettled(settled bool) {
+	if settled == b.settled {
+		return
+	}
+	b.settled = settled
+	b.steerer.SetSettled(settled)
+	b.deps.Log.Info().Str("event", "settled").Bool("settled", settled).Int("targets", b.steerer.Targets.Len()).Send()
+}
+
+// question makes news ask for the contacts that this balancer does not know. It
+// names also those that it no longer hears: it needs not be told of them.
 func (b *Balancer) question(n *wire.News) {
 	n.Ask = true
-	b.contacts(func(a netip.AddrPort, _ func() *wire.Contact) { n.Known = append(n.Known, uint32(hash(a))) })
+	add := func(a netip.AddrPort) { n.Known = append(n.Known, uint32(hash(a))) }
+	b.steerer.Targets.Each(func(t *stream.Target) { add(t.Address) })
+	b.peers.Each(func(p *Peer) { add(p.Address) })
+	add(b.peers.self.Address)
 }
 
 // tellAll tells all neighbours at once: a version has come into force, who is
 // known has changed, or this balancer leaves.
 func (b *Balancer) tellAll(now clock.Millis) {
 	n := b.news()
+	n.Chose = true
 	for _, p := range b.peers.Neighbours(now) {
 		p.told = now
 		b.send(p.Address, &wire.Parcel{Verb: wire.Verb_VERB_NEWS, News: n})
@@ -107,6 +128,7 @@
 // first flow is opened there.
 func (b *Balancer) announce(now clock.Millis, t *stream.Target) {
 	n := b.news()
+	n.Chose = true
 	n.Contacts = []*wire.Contact{contact(t.Address, t.Name, t.Domain, t.Service)}
 	for _, p := range b.peers.Neighbours(now) {
 		b.send(p.Address, &wire.Parcel{Verb: wire.Verb_VERB_NEWS, News: n})
@@ -120,9 +142,12 @@
 	}
 	fresh := b.peers.Hear(now, Peer{
 		Address: from, Name: n.Self.Name, Domain: n.Self.Domain, Epoch: n.Epoch, Version: n.Version,
-		Watching: n.Watching, Leaving: n.Leaving, Digest: n.Digest,
+		Watching: n.Watching, Leaving: n.Leaving, Digest: n.Digest, Chose: n.Chose,
 	})
-	b.learn(now, n.Contacts)
+	learned := b.learn(now, n.Contacts)
+	if n.Complete && !learned {
+		b.peers.Covered(from, n.Digest)
+	}
 	if fresh {
 		b.deps.Log.Info().Str("event", "peer").Stringer("peer", from).Str("name", n.Self.Name).
 			Str("domain", n.Self.Domain).Uint64("version", n.Version).Send()
@@ -130,7 +155,7 @@
 	if n.Ask && !b.leaving {
 		b.tellContacts(from, n.Known)
 	}
-	if n.Digest != b.digest() && !n.Leaving && b.peers.Ask(now, from) {
+	if n.Digest != b.digest() && !n.Leaving && b.peers.Ask(now, from, n.Digest) {
 		q := b.news()
 		b.question(q)
 		b.send(from, &wire.Parcel{Verb: wire.Verb_VERB_NEWS, News: q})
@@ -150,7 +175,9 @@
 	return 0
 }
 
-func (b *Balancer) learn(now clock.Millis, contacts []*wire.Contact) {
+// learn takes contacts, and reports whether a target among them is new.
+func (b *Balancer) learn(now clock.Millis, contacts []*wire.Contact) bool {
+	learned := false
 	for _, c := range contacts {
 		a, err := segment.ParseAddress(c.Address)
 		if err != nil {
@@ -161,11 +188,15 @@
 			b.peers.Learn(now, a, c.Name, c.Domain)
 			continue
 		}
-		b.steerer.Targets.Learn(now, a, c.Name, c.Domain, c.Service)
+		if b.steerer.Targets.Learn(now, a, c.Name, c.Domain, c.Service) {
+			learned = true
+		}
 	}
+	return learned
 }
 
-// tellContacts tells another balancer whom it does not know.
+// tellContacts tells another balancer whom it does not know, if only that there
+// is nobody.
 func (b *Balancer) tellContacts(to netip.AddrPort, known []uint32) {
 	have := make(map[uint32]bool, len(known))
 	for _, h := range known {
@@ -177,11 +208,16 @@
 			all = append(all, c())
 		}
 	})
-	for len(all) > 0 {
+	complete := len(all) <= contactsPerParcel
+	for {
 		n := b.news()
 		size := min(len(all), contactsPerParcel)
 		n.Contacts, all = all[:size], all[size:]
+		n.Complete = complete
 		b.send(to, &wire.Parcel{Verb: wire.Verb_VERB_NEWS, News: n})
+		if len(all) == 0 {
+			return
+		}
 	}
 }
 
--- a/internal/process/streambalancer/peers.go
+++ b/internal/process/streambalancer/peers.go
@@ -15,27 +15,38 @@
 	// repairs what was lost, and traffic between domains is paid for.
 	nearNews = 500 * clock.Millis(1)
 	farNews  = clock.Second
-	// peerLive is the silence after which a balancer no longer counts as there:
+	// strangerNews is how often balancers are told that are no neighbours, so
+	// that they keep knowing this one.
+	strangerNews = 20 * clock.Second
+	// silentNews is how often a silent balancer is tried, and firstNews how often
+	// one that was never heard, for firstFor after this process's start: the
+	// others may be starting as well, in any order.
+	silentNews = 2 * clock.Second
+	firstNews  = 200 * clock.Millis(1)
+	firstFor   = 2 * clock.Second
+	// peerLive is the silence after which a neighbour no longer counts as there:
 	// two lost datagrams.
 	peerLive = 2500 * clock.Millis(1)
+	// peerKnown is the silence after which a balancer is forgotten: three times
+	// strangerNews.
+	peerKnown = 60 * clock.Second
 	// askEvery is the least pause between two questions to one balancer about
-	// the contacts that it knows and this one does not. A new target is told at
+	// the targets that it knows and this one does not. A new target is told at
 	// once; the question repairs what was lost.
-	askEvery = clock.Second
-	// peerKnown is the silence after which a balancer is forgotten.
-	peerKnown = 60 * clock.Second
-	// retryPeer is how often a silent balancer is tried.
-	retryPeer = 2 * clock.Second
-	// mostNeighbours bounds how many balancers are told regularly, half of them
-	// in the own failure domain. A version that is new to a balancer goes on to
-	// its own neighbours.
-	mostNeighbours = 8
-	// settleTime is how long neighbours must agree: news of a new target go
-	// around at once and, if lost, again after nearNews.
-	settleTime = 700 * clock.Millis(1)
+	askEvery = 500 * clock.Millis(1)
+	// nearNeighbours and farNeighbours bound how many balancers are told
+	// regularly in the own failure domain and in others. What is new to a balancer
+	// goes on to its own neighbours.
+	nearNeighbours = 16
+	farNeighbours  = 4
+	// settleTime is how long this balancer must have known all that its neighbours
+	// know. News of a new target come from each balancer that hears it, within
+	// some 20 ms.
+	settleTime = 400 * clock.Millis(1)
 	// startTime is how long a balancer that has started may not have heard of
-	// everybody: agents report several times in it.
-	startTime = clock.Second
+	// everybody: all VMs start within 300 ms, and agents report several times in
+	// the rest of it.
+	startTime = 700 * clock.Millis(1)
 	// newsSoon is the least pause between news that tell of a change.
 	newsSoon = 100 * clock.Millis(1)
 	// watchGrace is how long a balancer that ranks before this one may be
@@ -50,32 +61,48 @@
 	Domain  string
 	Epoch   uint64
 	Version uint64
-	// Digest is a hash over whom it knows.
+	// Digest is a hash over the targets that it hears.
 	Digest uint64
 	// Watching tells that it reads the platform's changes.
 	Watching bool
 	Leaving  bool
+	// Chose tells that it counts this balancer among its neighbours.
+	Chose bool
 	// Heard is when its last news came; zero if none did.
 	Heard clock.Millis
 
 	learned clock.Millis
-	told    clock.Millis
-	asked   clock.Millis
+	// told is when it was told last, asked when it was asked, and chosen since
+	// when it is a neighbour.
+	told   clock.Millis
+	asked  clock.Millis
+	chosen clock.Millis
+	// covered is a digest of it at which this balancer knew all that it knew.
+	covered uint64
 	// unwatched is since when it is there without reading the platform.
 	unwatched clock.Millis
 }
 
-// Live reports whether the balancer is there.
+// Live reports whether a neighbour is there.
 func (p *Peer) Live(now clock.Millis) bool {
 	return p.Heard != 0 && now.Sub(p.Heard) <= peerLive && !p.Leaving
 }
 
+// silent reports that the balancer was never heard, or does not answer although
+// it has been a neighbour for long enough.
+func (p *Peer) silent(now clock.Millis) bool {
+	if p.Heard == 0 {
+		return true
+	}
+	return p.chosen != 0 && now.Sub(max(p.chosen, p.Heard)) > peerLive
+}
+
 // Peers is what a balancer knows of the others. It is pure: time is an argument.
 type Peers struct {
 	self    Peer
 	started clock.Millis
 	known   map[netip.AddrPort]*Peer
-	// agreed is since when all neighbours know the same processes as this one.
+	// agreed is since when this one knows all that its neighbours do.
 	agreed clock.Millis
 }
 
@@ -110,10 +137,10 @@
 	}
 	p := ps.known[n.Address]
 	if p == nil {
-		p = &Peer{Address: n.Address}
+		p = &Peer{Address: n.Address, learned: now}
 		ps.known[n.Address] = p
 	}
-	fresh := p.Heard == 0 || p.Epoch != n.Epoch || now.Sub(p.Heard) > peerLive
+	fresh := p.Heard == 0 || p.Epoch != n.Epoch
 	switch {
 	case n.Watching:
 		p.unwatched = 0
@@ -121,7 +148,7 @@
 		p.unwatched = now
 	}
 	p.Name, p.Domain, p.Epoch, p.Version = n.Name, n.Domain, n.Epoch, n.Version
-	p.Watching, p.Leaving, p.Digest = n.Watching, n.Leaving, n.Digest
+	p.Watching, p.Leaving, p.Digest, p.Chose = n.Watching, n.Leaving, n.Digest, n.Chose
 	p.Heard = now
 	return fresh
 }
@@ -143,93 +170,101 @@
 	return all
 }
 
-// Neighbours returns the live balancers that are told regularly: the first by
-// rendezvous with this one, at most half of them in its own failure domain if
-// there are others.
+// Neighbours returns the balancers that are told regularly: the first by
+// rendezvous with this one that answer. A balancer among hundreds thus has a few
+// neighbours, and all together form one mesh.
 func (ps *Peers) Neighbours(now clock.Millis) []*Peer {
 	var near, far []*Peer
 	for _, p := range ps.Sorted() {
 		switch {
-		case !p.Live(now):
+		case p.Leaving || p.silent(now):
 		case p.Domain == ps.self.Domain:
 			near = append(near, p)
 		default:
 			far = append(far, p)
 		}
 	}
-	near, far = ps.rank(near), ps.rank(far)
-	if len(near) > mostNeighbours/2 {
-		near = near[:mostNeighbours/2]
-	}
-	if len(far) > mostNeighbours-len(near) {
-		far = far[:mostNeighbours-len(near)]
-	}
-	return append(near, far...)
+	return append(ps.choose(now, near, nearNeighbours), ps.choose(now, far, farNeighbours)...)
 }
 
-func (ps *Peers) rank(peers []*Peer) []*Peer {
-	score := func(p *Peer) uint64 { return xxh3.HashString(ps.self.Name + " " + p.Name) }
-	slices.SortFunc(peers, func(a, b *Peer) int {
-		if x, y := score(a), score(b); x != y {
-			if x > y {
-				return -1
-			}
+// choose keeps the first peers by rendezvous and notes since when they are
+// neighbours.
+func (ps *Peers) choose(now clock.Millis, peers []*Peer, most int) []*Peer {
+	slices.SortStableFunc(peers, func(a, b *Peer) int {
+		x, y := ps.score(a), ps.score(b)
+		switch {
+		case x > y:
+			return -1
+		case x < y:
 			return 1
+		default:
+			return 0
 		}
-		return a.Address.Compare(b.Address)
 	})
-	return peers
+	for i, p := range peers {
+		switch {
+		case i >= most:
+			p.chosen = 0
+		case p.chosen == 0:
+			p.chosen = now
+		}
+	}
+	return peers[:min(len(peers), most)]
 }
 
-// Due returns the peers to tell now, and notes that they are told: neighbours
-// regularly, silent ones now and then.
+func (ps *Peers) score(p *Peer) uint64 {
+	return xxh3.HashString(ps.self.Name + " " + p.Name)
+}
+
+// Due returns the peers to tell now, and notes that they are told.
 func (ps *Peers) Due(now clock.Millis) []*Peer {
+	ps.Neighbours(now)
 	var due []*Peer
-	for _, p := range ps.Neighbours(now) {
-		if now.Sub(p.told) >= ps.pause(p) {
-			due = append(due, p)
-		}
-	}
 	for _, p := range ps.Sorted() {
-		if !p.Live(now) && now.Sub(p.told) >= ps.retry(now) {
+		if now.Sub(p.told) >= ps.pause(now, p) {
+			p.told = now
 			due = append(due, p)
 		}
 	}
-	for _, p := range due {
-		p.told = now
-	}
 	return due
 }
 
-func (ps *Peers) pause(p *Peer) clock.Millis {
-	if p.Domain == ps.self.Domain {
+func (ps *Peers) pause(now clock.Millis, p *Peer) clock.Millis {
+	choseUs := p.Chose && now.Sub(p.Heard) <= peerLive
+	switch {
+	case p.Heard == 0 && now.Sub(ps.started) < firstFor:
+		return firstNews
+	case p.Leaving || p.silent(now):
+		return silentNews
+	case p.chosen == 0 && !choseUs:
+		return strangerNews
+	case p.Domain == ps.self.Domain:
 		return nearNews
+	default:
+		return farNews
 	}
-	return farNews
 }
 
-// Ask reports whether a balancer that knows others than this one is to be asked
-// for them now, and notes that it is.
-func (ps *Peers) Ask(now clock.Millis, a netip.AddrPort) bool {
+// Ask reports whether a balancer that knows other targets than this one is to be
+// asked for them now, and notes that it is.
+func (ps *Peers) Ask(now clock.Millis, a netip.AddrPort, digest uint64) bool {
 	p := ps.known[a]
-	if p == nil || now.Sub(p.asked) < askEvery {
+	if p == nil || p.covered == digest || now.Sub(p.asked) < askEvery {
 		return false
 	}
 	p.asked = now
 	return true
 }
 
-// retry is short while this process has just started: the others may have done
-// so as well, in any order.
-func (ps *Peers) retry(now clock.Millis) clock.Millis {
-	if now.Sub(ps.started) < 2*clock.Second {
-		return 200
+// Covered notes that this balancer knows all that another one does at a digest.
+func (ps *Peers) Covered(a netip.AddrPort, digest uint64) {
+	if p := ps.known[a]; p != nil {
+		p.covered = digest
 	}
-	return retryPeer
 }
 
 // Watches reports whether this balancer reads the platform's changes: no live
-// balancer of its failure domain that ranks before it does.
+// neighbour of its failure domain that ranks before it does.
 //
 // Failure: the first one is cut off from the platform, or hears nothing of it.
 // Symptom: the failure domain keeps an old version. It says that it does not
@@ -247,12 +282,12 @@
 	return true
 }
 
-// Settled reports that all neighbours have known the same processes as this
-// balancer for long enough to have told each other of any new one. digest is a
-// hash over whom this one knows.
+// Settled reports that this balancer has known all targets that its neighbours
+// know for long enough to have been told of any new one. digest is a hash over
+// those that this one hears.
 func (ps *Peers) Settled(now clock.Millis, digest uint64) bool {
 	for _, p := range ps.Neighbours(now) {
-		if p.Digest != digest {
+		if p.Digest != digest && p.Digest != p.covered {
 			ps.agreed = 0
 			return false
 		}
@@ -287,7 +322,7 @@
 	return gone
 }
 
-// First reports whether this balancer ranks before all live ones.
+// First reports whether this balancer ranks before all that were heard lately.
 func (ps *Peers) First(now clock.Millis) bool {
 	for _, p := range ps.known {
 		if p.Live(now) && p.Name < ps.self.Name {
