--- a/internal/connection/stream/questions.go
+++ b/internal/connection/stream/questions.go
@@ -1,7 +1,9 @@
 package stream
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
 	"github.com/wagtailtray/wagtailtray/pkg/wire"
@@ -38,7 +40,8 @@
 		return
 	}
 	q.sent = now
-	for to, all := range q.waiting {
+	for _, to := range slices.SortedFunc(maps.Keys(q.waiting), netip.AddrPort.Compare) {
+		all := q.waiting[to]
 		delete(q.waiting, to)
 		for len(all) > 0 {
 			size := min(len(all), mostQuestions)
--- a/internal/connection/stream/search.go
+++ b/internal/connection/stream/search.go
@@ -69,7 +69,12 @@
 
 // search is a balancer's question who owns a flow.
 type search struct {
-	flow    *flow
+	id   segment.Flow
+	flow *flow
+	// known is how many targets there were when the last ones were asked.
+	known int
+	// over tells that the search has ended.
+	over    bool
 	began   clock.Millis
 	stage   stage
 	asked   map[netip.AddrPort]*asked
@@ -82,6 +87,12 @@
 	}
 }
 
+// end takes the search off its flow.
+func (x *search) end() {
+	x.over = true
+	x.flow.search = nil
+}
+
 // begin starts a search for the owner of a flow.
 func (s *Steerer) begin(now clock.Millis, id segment.Flow, f *flow, packet []byte) {
 	if len(s.searches) >= mostSearches {
@@ -90,18 +101,19 @@
 	}
 	f.taken = false
 	f.pending = 0
-	f.search = &search{flow: f, began: now, asked: map[netip.AddrPort]*asked{}}
+	f.search = &search{id: id, flow: f, began: now, asked: map[netip.AddrPort]*asked{}}
 	f.search.keep(packet)
-	s.searches[id] = f.search
+	s.searches = append(s.searches, f.search)
 	s.out.note(Event{Kind: Searched, Flow: id, Service: f.service, Version: s.version()})
-	s.ask(now, id, f.search)
-	s.advance(now, id, f.search)
+	s.ask(now, f.search)
+	s.advance(now, f.search)
 }
 
 // ask asks the targets of the search's stage that were not asked yet.
-func (s *Steerer) ask(now clock.Millis, id segment.Flow, x *search) {
+func (s *Steerer) ask(now clock.Millis, x *search) {
+	x.known = s.Targets.Len()
 	for _, t := range s.Targets.Sorted() {
-		if x.asked[t.Address] != nil || !s.within(x.stage, id, t) {
+		if x.asked[t.Address] != nil || !s.within(x.stage, x.id, t) {
 			continue
 		}
 		q := &asked{at: now, pause: askAgain}
@@ -110,12 +122,12 @@
 			q.holding = wire.Holding_HOLDING_NOT
 			continue
 		}
-		s.question(id, x, t.Address)
+		s.question(x, t.Address)
 	}
 }
 
-func (s *Steerer) question(id segment.Flow, x *search, to netip.AddrPort) {
-	s.questions.add(to, &wire.Question{Flow: segment.AppendFlow(nil, id), Ack: x.flow.ack})
+func (s *Steerer) question(x *search, to netip.AddrPort) {
+	s.questions.add(to, &wire.Question{Flow: segment.AppendFlow(nil, x.id), Ack: x.flow.ack})
 }
 
 func (s *Steerer) within(at stage, id segment.Flow, t *Target) bool {
@@ -132,25 +144,31 @@
 
 // advance widens a search whose present circle has denied the flow, or was
 // given its time, asks again where no answer came, and ends one that is over.
-func (s *Steerer) advance(now clock.Millis, id segment.Flow, x *search) {
+func (s *Steerer) advance(now clock.Millis, x *search) {
+	if x.over {
+		return
+	}
 	if now.Sub(x.began) > searchFor {
-		s.giveUp(now, id, x)
+		s.giveUp(now, x)
 		return
 	}
+	if x.known != s.Targets.Len() {
+		// This process has just started and learns of targets meanwhile.
+		s.ask(now, x)
+	}
 	for x.stage < all && (x.denied() || now.Sub(x.began) > x.patience()) {
 		x.stage++
-		s.ask(now, id, x)
+		s.ask(now, x)
 	}
 	if x.stage == all && s.unowned(now, x) {
-		delete(s.searches, id)
-		x.flow.search = nil
-		s.end(id, x.flow, "no target holds it", now.Sub(x.began))
+		x.end()
+		s.end(x.id, x.flow, "no target holds it", now.Sub(x.began))
 		return
 	}
 	for a, q := range x.asked {
 		if q.holding == wire.Holding_HOLDING_UNKNOWN && now.Sub(q.at) > q.pause {
 			q.at, q.pause = now, 2*q.pause
-			s.question(id, x, a)
+			s.question(x, a)
 		}
 	}
 }
@@ -205,7 +223,7 @@
 	case wire.Holding_HOLDING_OWNED:
 		s.found(now, id, f, from)
 	case wire.Holding_HOLDING_NOT:
-		s.denied(now, id, f, from)
+		s.denied(now, f, from)
 	case wire.Holding_HOLDING_UNSURE:
 		if q.holding != wire.Holding_HOLDING_NOT {
 			q.holding = holding
@@ -228,7 +246,7 @@
 }
 
 // denied notes that a target does not hold the flow.
-func (s *Steerer) denied(now clock.Millis, id segment.Flow, f *flow, from netip.AddrPort) {
+func (s *Steerer) denied(now clock.Millis, f *flow, from netip.AddrPort) {
 	q := f.search.asked[from]
 	if q == nil {
 		return
@@ -240,7 +258,7 @@
 		}
 		f.denied[from] = denial{at: now, epoch: t.Epoch, born: t.Born}
 	}
-	s.advance(now, id, f.search)
+	s.advance(now, f.search)
 }
 
 // found ends a search at the flow's owner, which gets the packets that it was
@@ -251,8 +269,8 @@
 	if !ok {
 		return
 	}
-	f.search, f.denied = nil, nil
-	delete(s.searches, id)
+	x.end()
+	f.denied = nil
 	f.owner, f.service, f.taken, f.last = owner, t.Service, true, now
 	s.out.note(Event{
 		Kind: Found, Flow: id, Target: owner, Name: t.Name, Service: t.Service,
@@ -261,7 +279,7 @@
 	s.hand(x, owner, x.asked[owner])
 }
 
-func (s *Steerer) giveUp(now clock.Millis, id segment.Flow, x *search) {
+func (s *Steerer) giveUp(now clock.Millis, x *search) {
 	silent, denied := 0, 0
 	for _, q := range x.asked {
 		switch q.holding {
@@ -275,7 +293,6 @@
 	if silent > 0 {
 		reason = "targets are silent"
 	}
-	s.out.note(Event{Kind: GaveUp, Flow: id, Reason: reason, Age: now.Sub(x.began), Count: denied, Version: s.version()})
-	x.flow.search = nil
-	delete(s.searches, id)
+	s.out.note(Event{Kind: GaveUp, Flow: x.id, Reason: reason, Age: now.Sub(x.began), Count: denied, Version: s.version()})
+	x.end()
 }
--- a/internal/connection/stream/steer.go
+++ b/internal/connection/stream/steer.go
@@ -48,7 +48,9 @@
 	settings Settings
 	Targets  *Targets
 	flows    *simplelru.LRU[segment.Flow, *flow]
-	searches map[segment.Flow]*search
+	// searches are those under way, in the order of their beginnings; ended ones
+	// are taken out at the next tick.
+	searches []*search
 	// questions are those that were not sent yet.
 	questions questions
 	suspects  map[netip.AddrPort]bool
@@ -63,9 +65,9 @@
 func NewSteerer(settings Settings) *Steerer {
 	s := &Steerer{
 		settings: settings, Targets: NewTargets(settings.Domain),
-		searches: map[segment.Flow]*search{}, questions: questions{waiting: map[netip.AddrPort][]*wire.Question{}},
-		suspects: map[netip.AddrPort]bool{},
-		history:  routing.NewHistory(settings.FlowLife.Duration()),
+		questions: questions{waiting: map[netip.AddrPort][]*wire.Question{}},
+		suspects:  map[netip.AddrPort]bool{},
+		history:   routing.NewHistory(settings.FlowLife.Duration()),
 	}
 	s.flows, _ = simplelru.NewLRU[segment.Flow, *flow](max(settings.Flows, 1), nil)
 	return s
@@ -341,7 +343,7 @@
 		s.flows.Add(id, f)
 	}
 	if f.search != nil {
-		s.denied(now, id, f, from)
+		s.denied(now, f, from)
 		return
 	}
 	if f.taken && f.owner != from {
@@ -400,9 +402,10 @@
 		s.out.send(t.Address, &wire.Parcel{Verb: wire.Verb_VERB_PROBE, Report: r})
 	}
 	s.watch(now)
-	for id, x := range s.searches {
-		s.advance(now, id, x)
+	for _, x := range s.searches {
+		s.advance(now, x)
 	}
+	s.searches = slices.DeleteFunc(s.searches, func(x *search) bool { return x.over })
 	s.questions.flush(now, &s.out)
 	for _, t := range s.Targets.Forget(now) {
 		s.out.note(Event{Kind: TargetGone, Target: t.Address, Name: t.Name, Service: t.Service, Reason: "silent", Age: now.Sub(t.Heard)})
--- a/internal/connection/stream/target.go
+++ b/internal/connection/stream/target.go
@@ -146,10 +146,14 @@
 	for _, t := range known {
 		all = append(all, t)
 	}
-	slices.SortFunc(all, func(a, b *Target) int { return a.Address.Compare(b.Address) })
+	slices.SortFunc(all, byAddress)
 	return all
 }
 
+func byAddress(a, b *Target) int {
+	return a.Address.Compare(b.Address)
+}
+
 // Each calls f for every target, in no order.
 func (ts *Targets) Each(f func(*Target)) {
 	for _, t := range ts.known {
@@ -287,11 +291,14 @@
 			if t.waiting == 0 {
 				t.waiting = now
 			}
-			ts.number++
-			t.probe = ts.number
 			due = append(due, t)
 		}
 	}
+	slices.SortFunc(due, byAddress)
+	for _, t := range due {
+		ts.number++
+		t.probe = ts.number
+	}
 	return due
 }
 
--- /dev/null
+++ b/internal/connection/stream/trace_test.go
@@ -0,0 +1,29 @@
+package stream
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+)
+
+// TestTrace prints what one seed of TestWorld decides; WAGTAILTRAY_SEED names it.
+func TestTrace(t *testing.T) {
+	seed, err := strconv.Atoi(os.Getenv("WAGTAILTRAY_SEED"))
+	if err != nil {
+		return
+	}
+	w := faultyWorld(t, uint64(seed))
+	w.trace = func(who string, events []Event) {
+		for _, e := range events {
+			fmt.Printf("%8.3f %-16s %-10s %v %v %s %s %d\n",
+				float64(w.now-24*clock.Hour)/1000, who, e.Kind, e.Flow, e.Target, e.Service, e.Reason, e.Count)
+		}
+	}
+	w.run(60 * clock.Second)
+	for _, f := range w.failures {
+		t.Error(f)
+	}
+}
--- /dev/null
+++ b/internal/connection/stream/world_test.go
@@ -0,0 +1,602 @@
+package stream
+
+import (
+	"container/heap"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+
+	"github.com/wagtailtray/wagtailtray/internal/request/segment"
+	"github.com/wagtailtray/wagtailtray/internal/version/routing"
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+	"github.com/wagtailtray/wagtailtray/pkg/wire"
+)
+
+// The world runs balancers' and agents' decisions over a network that delays,
+// loses and reorders, with targets and callers that follow the protocol of
+// flows, and an oracle that knows everything. It has its own time.
+
+const (
+	worldPort   = 7000
+	worldLife   = 60 * clock.Second
+	worldBeat   = 1200 * clock.Millis(1)
+	worldCalm   = 4 * clock.Second
+	worldDelay  = 6
+	worldFar    = 2
+	worldCopies = 3
+)
+
+// moment is one event of the world.
+type moment struct {
+	at    clock.Millis
+	order int
+	do    func()
+}
+
+type moments []moment
+
+func (m moments) Len() int      { return len(m) }
+func (m moments) Swap(i, j int) { m[i], m[j] = m[j], m[i] }
+func (m moments) Less(i, j int) bool {
+	return m[i].at < m[j].at || m[i].at == m[j].at && m[i].order < m[j].order
+}
+func (m *moments) Push(x any) { *m = append(*m, x.(moment)) }
+func (m *moments) Pop() any {
+	old := *m
+	last := old[len(old)-1]
+	*m = old[:len(old)-1]
+	return last
+}
+
+type world struct {
+	t         testing.TB
+	random    *rand.Rand
+	now       clock.Millis
+	order     int
+	queue     moments
+	loss      float64
+	table     *routing.Table
+	allowed   map[string]bool
+	balancers []*worldBalancer
+	agents    []*worldAgent
+	callers   []*worldCaller
+	cut       map[[2]netip.AddrPort]bool
+	served    int
+	failures  []string
+	// trace, if set, is shown all events.
+	trace func(who string, events []Event)
+}
+
+func (w *world) note(who netip.AddrPort, events []Event) {
+	if w.trace != nil && len(events) > 0 {
+		w.trace(who.String(), events)
+	}
+}
+
+type worldBalancer struct {
+	address netip.AddrPort
+	domain  string
+	steerer *Steerer
+	up      bool
+	born    clock.Millis
+	knows   clock.Millis
+	troubled
+}
+
+// troubled is until when something had an unplanned fault.
+type troubled struct{ last clock.Millis }
+
+func (t *troubled) until(end clock.Millis) { t.last = max(t.last, end) }
+
+type worldAgent struct {
+	address netip.AddrPort
+	domain  string
+	service string
+	holder  *Holder
+	epoch   uint64
+	up      bool
+	target  *worldTarget
+	troubled
+}
+
+// worldTarget is one incarnation of a target.
+type worldTarget struct {
+	born     uint64
+	sequence uint64
+	alive    bool
+	draining bool
+	acked    clock.Millis
+	flows    map[segment.Flow]*worldEnd
+}
+
+// worldEnd is a flow at its target.
+type worldEnd struct {
+	seq  uint32
+	open bool
+}
+
+// worldCaller keeps one flow and sends a request on it now and then.
+type worldCaller struct {
+	flow     segment.Flow
+	openedAt *worldTarget
+	owner    *worldAgent
+	seq      uint32
+	began    clock.Millis
+	asked    clock.Millis
+	copies   int
+	waiting  bool
+	port     uint16
+	ip       netip.Addr
+}
+
+func newWorld(t testing.TB, seed uint64, balancers, agents, callers int) *world {
+	w := &world{
+		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: 24 * clock.Hour,
+		cut: map[[2]netip.AddrPort]bool{}, allowed: map[string]bool{},
+	}
+	w.setTable(1, "one")
+	for i := range balancers {
+		b := &worldBalancer{address: worldAddress(1, i), domain: fmt.Sprint("zone-", i%3)}
+		w.balancers = append(w.balancers, b)
+		w.startBalancer(b)
+	}
+	for i := range agents {
+		service := "one"
+		if i%3 == 2 {
+			service = "two"
+		}
+		a := &worldAgent{address: worldAddress(2, i), domain: fmt.Sprint("zone-", i%3), service: service}
+		w.agents = append(w.agents, a)
+		w.startTarget(a)
+		w.startAgent(a)
+	}
+	for i := range callers {
+		c := &worldCaller{ip: netip.AddrFrom4([4]byte{100, 64, 0, byte(i + 1)}), port: 1000}
+		w.callers = append(w.callers, c)
+		w.after(clock.Millis(3000+w.random.IntN(2000)), func() { w.callerOpens(c) })
+	}
+	return w
+}
+
+func worldAddress(kind, i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(kind), byte(i >> 8), byte(i + 1)}), worldPort)
+}
+
+var worldListener = netip.MustParseAddrPort("198.18.0.1:443")
+
+func (w *world) setTable(version uint64, service string) {
+	t := &routing.Table{Version: version, Listeners: []routing.Listener{
+		{Name: "l", Address: worldListener, Shares: []routing.Share{{Service: service, Weight: 1}}},
+	}}
+	if err := t.Check(); err != nil {
+		w.t.Fatal(err)
+	}
+	w.table = t
+	w.allowed[service] = true
+	for _, b := range w.balancers {
+		w.after(clock.Millis(w.random.IntN(300)), func() { b.steerer.SetTable(w.now, t) })
+	}
+}
+
+func (w *world) after(d clock.Millis, do func()) {
+	w.order++
+	heap.Push(&w.queue, moment{at: w.now + d, order: w.order, do: do})
+}
+
+func (w *world) run(until clock.Millis) {
+	end := w.now + until
+	for len(w.queue) > 0 && w.queue[0].at <= end {
+		m := heap.Pop(&w.queue).(moment)
+		w.now = m.at
+		m.do()
+	}
+	w.now = end
+}
+
+func (w *world) fail(format string, args ...any) {
+	w.failures = append(w.failures, fmt.Sprintf("%.3f ", float64(w.now-24*clock.Hour)/1000)+fmt.Sprintf(format, args...))
+}
+
+// network delivers later, or never.
+func (w *world) network(from, to netip.AddrPort, deliver func()) {
+	if w.random.Float64() < w.loss || w.cut[[2]netip.AddrPort{from, to}] {
+		return
+	}
+	w.after(1+clock.Millis(w.random.IntN(worldDelay)), deliver)
+}
+
+// encode makes the packet of a segment, as a stand-in for the real head.
+func encode(s segment.Segment) []byte {
+	b := segment.AppendAddress(segment.AppendAddress(nil, s.Source), s.Destination)
+	b = append(b, byte(s.Flags))
+	b = binary.BigEndian.AppendUint32(b, s.Seq)
+	b = binary.BigEndian.AppendUint32(b, s.Ack)
+	b = binary.BigEndian.AppendUint32(b, s.Echo)
+	return binary.BigEndian.AppendUint32(b, uint32(s.Size))
+}
+
+func decode(b []byte) *segment.Segment {
+	s := &segment.Segment{Flags: segment.Flags(b[12])}
+	s.Source, _ = segment.ParseAddress(b[:6])
+	s.Destination, _ = segment.ParseAddress(b[6:12])
+	s.Seq, s.Ack = binary.BigEndian.Uint32(b[13:]), binary.BigEndian.Uint32(b[17:])
+	s.Echo, s.Size = binary.BigEndian.Uint32(b[21:]), int(binary.BigEndian.Uint32(b[25:]))
+	return s
+}
+
+func mark(b []byte, echo uint32, returned bool) []byte {
+	s := decode(b)
+	s.Echo = echo
+	s.Flags &^= segment.Returned
+	if returned {
+		s.Flags |= segment.Returned
+	}
+	return encode(*s)
+}
+
+// Balancers.
+
+func (w *world) startBalancer(b *worldBalancer) {
+	b.steerer = NewSteerer(Settings{Domain: b.domain, Flows: 10000, FlowLife: worldLife})
+	b.up, b.born, b.knows = true, w.now, 0
+	b.steerer.SetTable(w.now, w.table)
+	s := b.steerer
+	var tick func()
+	tick = func() {
+		if b.steerer != s || !b.up {
+			return
+		}
+		b.steerer.Tick(w.now)
+		w.settle(b)
+		w.flushBalancer(b)
+		w.after(20, tick)
+	}
+	w.after(1, tick)
+}
+
+// settle stands in for the balancers' exchange: a balancer counts as settled
+// when it has known all running agents for a while.
+func (w *world) settle(b *worldBalancer) {
+	all := w.now.Sub(b.born) > 700
+	for _, a := range w.agents {
+		t, ok := b.steerer.Targets.Find(a.address)
+		if a.up && !a.holder.Gone() && (!ok || t.Heard == 0) {
+			all = false
+		}
+	}
+	switch {
+	case !all:
+		b.knows = 0
+	case b.knows == 0:
+		b.knows = w.now
+	}
+	b.steerer.SetSettled(all && w.now.Sub(b.knows) > 400)
+}
+
+func (w *world) flushBalancer(b *worldBalancer) {
+	out := b.steerer.Take()
+	w.note(b.address, out.Events)
+	for _, s := range out.Sends {
+		w.sendAgent(b, s)
+	}
+	for _, r := range out.Resets {
+		w.callerReset(r.Flow, "a balancer")
+	}
+}
+
+func (w *world) sendAgent(b *worldBalancer, s Send) {
+	p := copyParcel(s.Parcel)
+	for _, a := range w.agents {
+		if a.address != s.To {
+			continue
+		}
+		w.network(b.address, a.address, func() {
+			if !a.up {
+				return
+			}
+			var seg *segment.Segment
+			if len(p.Packet) > 0 {
+				seg = decode(p.Packet)
+			}
+			a.holder.Hear(w.now, b.address, p, seg)
+			w.flushAgent(a)
+		})
+	}
+}
+
+func copyParcel(p *wire.Parcel) *wire.Parcel {
+	data, err := p.MarshalVT()
+	if err != nil {
+		panic(err)
+	}
+	out := &wire.Parcel{}
+	if err := out.UnmarshalVT(data); err != nil {
+		panic(err)
+	}
+	return out
+}
+
+// Agents and targets.
+
+func (w *world) startAgent(a *worldAgent) {
+	a.epoch++
+	a.up = true
+	a.holder = NewHolder(w.now, HolderSettings{
+		Name: a.address.String(), Domain: a.domain, Service: a.service, Epoch: a.epoch, Port: worldPort,
+		Flows: 1000, FlowLife: worldLife, Heartbeat: worldBeat, SilentAfter: 3 * worldBeat,
+	})
+	h := a.holder
+	var tick func()
+	tick = func() {
+		if a.holder != h || !a.up {
+			return
+		}
+		h.Tick(w.now)
+		if h.Doubts(w.now) {
+			h.Checked(w.now, a.target != nil && a.target.alive)
+		}
+		w.flushAgent(a)
+		w.after(50, tick)
+	}
+	w.after(1, tick)
+	var tell func()
+	tell = func() {
+		if a.holder != h || !a.up {
+			return
+		}
+		var all []netip.AddrPort
+		for _, b := range w.balancers {
+			all = append(all, b.address)
+		}
+		h.Tell(w.now, all)
+		w.flushAgent(a)
+		w.after(500, tell)
+	}
+	w.after(2, tell)
+}
+
+func (w *world) flushAgent(a *worldAgent) {
+	out := a.holder.Take()
+	w.note(a.address, out.Events)
+	for _, d := range out.Deliveries {
+		packet := mark(d.Packet, d.Echo, false)
+		w.after(0, func() { w.targetTakes(a, packet) })
+	}
+	for _, packet := range out.Answers {
+		s := decode(packet)
+		w.network(a.address, s.Destination, func() { w.callerHears(a, s) })
+	}
+	for _, r := range out.Resets {
+		w.callerReset(r.Flow, "an agent")
+	}
+	for _, s := range out.Sends {
+		p := copyParcel(s.Parcel)
+		if len(p.Packet) > 0 {
+			p.Packet = mark(p.Packet, 0, false)
+		}
+		for _, b := range w.balancers {
+			if b.address != s.To {
+				continue
+			}
+			w.network(a.address, b.address, func() {
+				if !b.up {
+					return
+				}
+				var seg *segment.Segment
+				if len(p.Packet) > 0 {
+					seg = decode(p.Packet)
+				}
+				b.steerer.Hear(w.now, a.address, p, seg)
+				w.flushBalancer(b)
+			})
+		}
+	}
+}
+
+func (w *world) startTarget(a *worldAgent) {
+	t := &worldTarget{born: uint64(w.now), alive: true, flows: map[segment.Flow]*worldEnd{}}
+	a.target = t
+	var beat func()
+	beat = func() {
+		if !t.alive || a.target != t {
+			return
+		}
+		t.sequence++
+		if a.up {
+			a.holder.Beat(w.now, Beat{
+				Service: a.service, Born: t.born, Sequence: t.sequence, Age: w.now - clock.Millis(t.born),
+				Draining: t.draining, Slots: 4,
+			})
+			if t.draining && t.acked == 0 {
+				t.acked = w.now
+			}
+			w.flushAgent(a)
+			w.after(worldBeat, beat)
+			return
+		}
+		w.after(100, beat)
+	}
+	w.after(clock.Millis(1+w.random.IntN(100)), beat)
+}
+
+// targetTakes is the target's end of the protocol.
+func (w *world) targetTakes(a *worldAgent, packet []byte) {
+	t := a.target
+	if t == nil || !t.alive {
+		return
+	}
+	s := decode(packet)
+	id := s.FromCaller()
+	end := t.flows[id]
+	if s.Opening() {
+		if t.acked != 0 && w.now > t.acked {
+			w.fail("opening of %s at %s after it was acknowledged to drain", id, a.address)
+		}
+		if !w.allowed[a.service] {
+			w.fail("opening of %s at service %s", id, a.service)
+		}
+		if end == nil {
+			end = &worldEnd{seq: w.random.Uint32()}
+			t.flows[id] = end
+		}
+		w.targetSends(a, segment.Segment{
+			Source: id.Listener, Destination: id.Caller, Flags: segment.Opens | segment.Acks, Seq: end.seq,
+		})
+		return
+	}
+	if end == nil || s.Ack != end.seq+1 {
+		w.after(0, func() { w.agentTakes(a, mark(packet, s.Echo, true)) })
+		return
+	}
+	if !end.open {
+		end.open = true
+		for _, c := range w.callers {
+			if c.flow == id && c.openedAt == nil {
+				c.openedAt, c.owner = t, a
+			}
+		}
+	}
+	if s.Size > 0 {
+		w.targetSends(a, segment.Segment{
+			Source: id.Listener, Destination: id.Caller, Flags: segment.Acks, Seq: end.seq + 1, Ack: s.Seq, Size: 100,
+		})
+	}
+}
+
+func (w *world) targetSends(a *worldAgent, s segment.Segment) {
+	packet := encode(s)
+	w.after(0, func() { w.agentTakes(a, packet) })
+}
+
+func (w *world) agentTakes(a *worldAgent, packet []byte) {
+	if a.up {
+		a.holder.FromTarget(w.now, decode(packet), packet)
+		w.flushAgent(a)
+	}
+}
+
+// Callers.
+
+func (w *world) callerOpens(c *worldCaller) {
+	c.port++
+	c.flow = segment.Flow{Caller: netip.AddrPortFrom(c.ip, c.port), Listener: worldListener}
+	c.openedAt, c.owner, c.seq, c.waiting, c.copies = nil, nil, 0, false, 0
+	c.began = w.now
+	w.callerCopies(c, c.flow)
+}
+
+func (w *world) callerCopies(c *worldCaller, flow segment.Flow) {
+	if c.flow != flow || c.seq != 0 {
+		return
+	}
+	if c.copies == worldCopies {
+		w.after(400, func() { w.callerOpens(c) })
+		return
+	}
+	w.callerSends(c, segment.Segment{Flags: segment.Opens, Ack: uint32(c.copies)})
+	c.copies++
+	w.after(clock.Millis(200*c.copies), func() { w.callerCopies(c, flow) })
+}
+
+// callerSends goes through the balancer that the fabric picks: mostly the same
+// one, and another one while that is down.
+func (w *world) callerSends(c *worldCaller, s segment.Segment) {
+	s.Source, s.Destination = c.flow.Caller, c.flow.Listener
+	packet := encode(s)
+	n := len(w.balancers)
+	first := int(c.flow.Caller.Port()) + int(c.ip.As4()[3])
+	for i := range n {
+		b := w.balancers[(first+i)%n]
+		if !b.up {
+			continue
+		}
+		w.network(c.flow.Caller, b.address, func() {
+			if b.up {
+				b.steerer.Arrive(w.now, decode(packet), packet)
+				w.flushBalancer(b)
+			}
+		})
+		return
+	}
+}
+
+func (w *world) callerHears(_ *worldAgent, s *segment.Segment) {
+	id := s.FromUpstream()
+	for _, c := range w.callers {
+		if c.flow != id {
+			continue
+		}
+		switch {
+		case s.Flags.Has(segment.Opens):
+			if c.seq == 0 {
+				c.seq = s.Seq + 1
+				w.callerAsks(c, c.flow)
+			}
+		case s.Size > 0 && c.waiting:
+			c.waiting = false
+			w.served++
+			flow := c.flow
+			w.after(clock.Millis(200+w.random.IntN(1500)), func() { w.callerAsks(c, flow) })
+		}
+	}
+}
+
+func (w *world) callerAsks(c *worldCaller, flow segment.Flow) {
+	if c.flow != flow {
+		return
+	}
+	if w.now.Sub(c.began) > 20*clock.Second {
+		w.callerOpens(c)
+		return
+	}
+	c.waiting, c.asked = true, w.now
+	w.callerRepeats(c, flow, c.asked, 200)
+}
+
+// callerRepeats sends a request again until it is answered or the caller's
+// patience ends.
+func (w *world) callerRepeats(c *worldCaller, flow segment.Flow, asked, pause clock.Millis) {
+	if c.flow != flow || !c.waiting || c.asked != asked {
+		return
+	}
+	if w.now.Sub(asked) > 2*clock.Second {
+		if c.openedAt != nil && c.openedAt.alive && w.calm(c) {
+			w.fail("%s hangs, its target %s lives", c.flow, c.owner.address)
+		}
+		w.callerOpens(c)
+		return
+	}
+	w.callerSends(c, segment.Segment{Flags: segment.Acks, Ack: c.seq, Seq: 1, Size: 200})
+	w.after(pause, func() { w.callerRepeats(c, flow, asked, 2*pause) })
+}
+
+// calm reports that nothing unplanned happened to what the flow needs.
+func (w *world) calm(c *worldCaller) bool {
+	if w.now.Sub(c.owner.last) <= worldCalm || !c.owner.up {
+		return false
+	}
+	for _, b := range w.balancers {
+		if w.now.Sub(b.last) <= worldCalm {
+			return false
+		}
+	}
+	return w.loss == 0
+}
+
+func (w *world) callerReset(id segment.Flow, by string) {
+	for _, c := range w.callers {
+		if c.flow != id {
+			continue
+		}
+		if c.openedAt != nil && c.openedAt.alive && w.calm(c) {
+			w.fail("%s is reset by %s, its target %s lives", id, by, c.owner.address)
+		}
+		w.after(worldFar, func() {
+			if c.flow == id {
+				w.callerOpens(c)
+			}
+		})
+	}
+}
