--- a/cmd/wagtailtray/main.go
+++ b/cmd/wagtailtray/main.go
@@ -6,6 +6,7 @@
 //	wagtailtray plan answers.yaml --platform 192.0.2.10:8001 --out plan.json
 //	wagtailtray approve plan.json --platform 192.0.2.10:8001
 //	wagtailtray status --peers 192.0.2.21:7000 --key ...
+//	wagtailtray story --flow 192.0.2.7:40001 *.log
 //	wagtailtray try
 //
 // See docs/operate for what each command does and its exit codes.
@@ -51,6 +52,7 @@
 	Undrain undrainCommand `cmd:"" help:"Let a target take new flows again."`
 	History historyCommand `cmd:"" help:"List the approved changes."`
 	Key     keyCommand     `cmd:"" help:"Print a new deployment key."`
+	Story   storyCommand   `cmd:"" help:"Tell from logs what was decided about one flow."`
 	Try     tryCommand     `cmd:"" help:"Run a whole deployment on loopback and watch it change."`
 }
 
--- /dev/null
+++ b/cmd/wagtailtray/story.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/zeebo/errs"
+
+	"github.com/wagtailtray/wagtailtray/internal/process/decisions"
+)
+
+// errNoStory means that no log has a line about the flow.
+var errNoStory = errs.New("no line is about this flow")
+
+type storyCommand struct {
+	Flow string   `help:"The flow's caller, or caller>listener." required:"" placeholder:"IP:PORT"`
+	Logs []string `arg:"" help:"Logs of balancers and agents; - for standard input." default:"-"`
+}
+
+// Run reads the logs and prints the flow's story.
+func (c *storyCommand) Run() error {
+	var all []decisions.Line
+	for _, path := range c.Logs {
+		lines, err := readLog(path)
+		if err != nil {
+			return err
+		}
+		all = append(all, lines...)
+	}
+	story := decisions.Story(all, c.Flow)
+	if len(story) == 0 {
+		return fmt.Errorf("%w: %s in %d lines", errNoStory, c.Flow, len(all))
+	}
+	return decisions.WriteStory(os.Stdout, story)
+}
+
+func readLog(path string) ([]decisions.Line, error) {
+	var r io.Reader = os.Stdin
+	if path != "-" {
+		f, err := os.Open(path)
+		if err != nil {
+			return nil, errs.Wrap(err)
+		}
+		defer func() { _ = f.Close() }()
+		r = f
+	}
+	return decisions.ReadLines(r)
+}
--- /dev/null
+++ b/internal/connection/stream/choose_test.go
@@ -0,0 +1,137 @@
+package stream
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+	"github.com/wagtailtray/wagtailtray/pkg/wire"
+)
+
+const testNow = 24 * clock.Hour
+
+// load is a target's report, as its agent would send it.
+type load struct {
+	domain string
+	flows  int
+	busy   float64
+	cold   uint32
+}
+
+// loaded returns targets of one service with these loads, in a balancer of the
+// failure domain "a". Targets have four slots.
+func loaded(loads ...load) *Targets {
+	ts := NewTargets("a")
+	for i, l := range loads {
+		ts.Report(testNow, worldAddress(2, i), &wire.Report{
+			Name: fmt.Sprint("t", i), Domain: l.domain, Service: "one", Epoch: 1, Sequence: 1, Born: 1,
+			Condition: wire.Condition_CONDITION_READY, Slots: 4, Flows: uint32(l.flows),
+			Busy: uint32(l.busy * busyScale), Cold: l.cold,
+		})
+	}
+	return ts
+}
+
+// place chooses for that many openings and counts them by target.
+func place(ts *Targets, openings int) []int {
+	counts := make([]int, ts.Len())
+	for range openings {
+		t, ok := ts.Choose(testNow, "one", nil)
+		if !ok {
+			continue
+		}
+		for i := range counts {
+			if t.Address == worldAddress(2, i) {
+				counts[i]++
+			}
+		}
+	}
+	return counts
+}
+
+// A burst arrives between two reports. One target looked idle a moment ago; it
+// must not get all of it.
+func TestChooseBurst(t *testing.T) {
+	counts := place(loaded(load{"a", 30, 1.2, 0}, load{"a", 30, 1.2, 0}, load{"a", 24, 0.9, 0}), 90)
+	if counts[2] < 30 || counts[2] > 45 || counts[0] < 20 || counts[1] < 20 {
+		t.Errorf("90 openings went %v", counts)
+	}
+}
+
+// All callers come back at once, in every failure domain. What this balancer has
+// placed at home since the last reports must not send the rest elsewhere, where
+// others place as many.
+func TestChooseHerdStaysHome(t *testing.T) {
+	counts := place(loaded(load{"a", 2, 1, 0}, load{"a", 2, 1, 0}, load{"b", 2, 1, 0}, load{"b", 2, 1, 0}), 400)
+	if counts[2]+counts[3] > 0 {
+		t.Errorf("of 400 openings some left the failure domain: %v", counts)
+	}
+}
+
+// The targets at home have every slot in use and a queue, those elsewhere are
+// half idle: new flows go out, for a request would wait longer at home than the
+// way takes.
+func TestChooseLeavesOverload(t *testing.T) {
+	counts := place(loaded(load{"a", 90, 5, 0}, load{"a", 90, 5, 0}, load{"b", 40, 1.5, 0}), 20)
+	if counts[2] < 15 {
+		t.Errorf("of 20 openings only %d left an overloaded failure domain", counts[2])
+	}
+	counts = place(loaded(load{"a", 60, 2.6, 0}, load{"a", 60, 2.6, 0}, load{"b", 5, 0.2, 0}), 20)
+	if counts[2] > 0 {
+		t.Errorf("%d of 20 openings left a failure domain that is busy but well", counts[2])
+	}
+}
+
+// A target has become slow: it has as many flows as the others, but their requests
+// pile up. It gets fewer of the next flows.
+func TestChooseAvoidsSlow(t *testing.T) {
+	counts := place(loaded(load{"a", 30, 3.6, 0}, load{"a", 30, 0.9, 0}, load{"a", 30, 0.9, 0}), 30)
+	if counts[0] > 2 {
+		t.Errorf("the slow target got %d of 30 openings", counts[0])
+	}
+}
+
+// A target that has just started works slower for a while; it is empty, and still
+// must not get the whole burst.
+func TestChooseCold(t *testing.T) {
+	counts := place(loaded(load{"a", 30, 1, 0}, load{"a", 30, 1, 0}, load{"a", 0, 0, 2000}), 60)
+	if counts[2] < 20 || counts[2] > 50 {
+		t.Errorf("the cold target got %d of 60 openings", counts[2])
+	}
+}
+
+// A target was tried already, or is suspected, draining, restarting or not known
+// to be ready: it gets no opening.
+func TestChooseLeavesOut(t *testing.T) {
+	ts := loaded(load{"a", 0, 0, 0}, load{"a", 0, 0, 0})
+	first, second := worldAddress(2, 0), worldAddress(2, 1)
+	if got, ok := ts.Choose(testNow, "one", []netip.AddrPort{first}); !ok || got.Address != second {
+		t.Errorf("after the first was tried: %v", got)
+	}
+	ts.Due(testNow)
+	for at := testNow; at < testNow+clock.Second; at += 50 {
+		ts.Due(at)
+	}
+	if got, ok := ts.Choose(testNow+clock.Second, "one", nil); ok {
+		t.Errorf("a target that does not answer was chosen: %v", got)
+	}
+	ts.Report(testNow+clock.Second, first, &wire.Report{
+		Service: "one", Epoch: 1, Sequence: 2, Born: 1, Condition: wire.Condition_CONDITION_DRAINING, Slots: 4,
+	})
+	if got, ok := ts.Choose(testNow+clock.Second, "one", nil); ok {
+		t.Errorf("a draining target was chosen: %v", got)
+	}
+}
+
+// The balancer stands still for seconds while all targets are well. When it goes
+// on, none counts as lost, or their flows would be reset.
+func TestPausedBalancerLosesNobody(t *testing.T) {
+	ts := loaded(load{"a", 0, 0, 0})
+	ts.Due(testNow)
+	later := testNow + 10*clock.Second
+	ts.Due(later)
+	if target, _ := ts.Find(worldAddress(2, 0)); target.Lost(later) {
+		t.Error("a target counts as lost after the balancer's own pause")
+	}
+}
--- a/internal/connection/stream/hold.go
+++ b/internal/connection/stream/hold.go
@@ -139,7 +139,7 @@
 // balancers believe.
 func (h *Holder) opening(now clock.Millis, from netip.AddrPort, p *wire.Parcel, seg *segment.Segment) {
 	if p.Service != h.settings.Service {
-		h.giveBack(now, from, p.Packet, wire.Cause_CAUSE_MISADDRESSED)
+		h.giveBack(now, from, seg, p.Packet, wire.Cause_CAUSE_MISADDRESSED)
 		return
 	}
 	id := seg.FromCaller()
@@ -148,7 +148,7 @@
 		ok = false
 	}
 	if !ok && !h.Accepting(now) {
-		h.giveBack(now, from, p.Packet, wire.Cause_CAUSE_CLOSED)
+		h.giveBack(now, from, seg, p.Packet, wire.Cause_CAUSE_CLOSED)
 		return
 	}
 	if !ok {
@@ -183,7 +183,11 @@
 
 // giveBack returns a packet with a report, so that the balancer's next choice
 // knows better.
-func (h *Holder) giveBack(now clock.Millis, to netip.AddrPort, packet []byte, cause wire.Cause) {
+func (h *Holder) giveBack(now clock.Millis, to netip.AddrPort, seg *segment.Segment, packet []byte, cause wire.Cause) {
+	h.out.note(Event{
+		Kind: Returned, Flow: seg.FromCaller(), Target: to, Service: h.settings.Service, Reason: cause.String(),
+		Age: now.Sub(h.upstream.seen),
+	})
 	h.out.send(to, &wire.Parcel{Verb: wire.Verb_VERB_RETURN, Cause: cause, Report: h.report(now, 0), Packet: packet})
 }
 
@@ -195,12 +199,12 @@
 func (h *Holder) carry(now clock.Millis, from netip.AddrPort, p *wire.Parcel, seg *segment.Segment) {
 	id := seg.FromCaller()
 	if p.Service != h.settings.Service {
-		h.giveBack(now, from, p.Packet, wire.Cause_CAUSE_MISADDRESSED)
+		h.giveBack(now, from, seg, p.Packet, wire.Cause_CAUSE_MISADDRESSED)
 		return
 	}
 	switch h.holding(now, id, seg.Ack) {
 	case wire.Holding_HOLDING_NOT:
-		h.giveBack(now, from, p.Packet, wire.Cause_CAUSE_UNOWNED)
+		h.giveBack(now, from, seg, p.Packet, wire.Cause_CAUSE_UNOWNED)
 		return
 	case wire.Holding_HOLDING_UNSURE:
 		if !h.flows.Contains(id) {
@@ -286,9 +290,15 @@
 		h.own(id, f)
 	}
 	if seg.Flags.Has(segment.Opens) {
+		if !f.accepted {
+			h.out.note(Event{Kind: Accepted, Flow: id, Target: f.from, Service: h.settings.Service, Age: now.Sub(f.opened)})
+		}
 		f.seq, f.accepted = seg.Seq, true
 		h.own(id, f)
 	}
+	if seg.Size > 0 && f.busy != 0 {
+		h.out.Served = append(h.out.Served, now.Sub(f.busy))
+	}
 	if seg.Size > 0 || seg.Flags&(segment.Ends|segment.Resets) != 0 {
 		f.busy = 0
 		delete(h.working, id)
@@ -308,7 +318,7 @@
 		if f, ok := h.flows.Peek(id); ok && !f.open {
 			h.flows.Remove(id)
 		}
-		h.giveBack(now, to, packet, wire.Cause_CAUSE_FULL)
+		h.giveBack(now, to, seg, packet, wire.Cause_CAUSE_FULL)
 		return
 	}
 	f, ok := h.flows.Peek(id)
@@ -319,7 +329,7 @@
 		h.answer(to, id, wire.Holding_HOLDING_NOT)
 		return
 	}
-	h.giveBack(now, to, packet, wire.Cause_CAUSE_UNOWNED)
+	h.giveBack(now, to, seg, packet, wire.Cause_CAUSE_UNOWNED)
 }
 
 // Tick ends what is over and measures the load.
--- a/internal/connection/stream/outcome.go
+++ b/internal/connection/stream/outcome.go
@@ -48,6 +48,8 @@
 	TargetBack Kind = "recovered"
 	TargetGone Kind = "gone"
 	Upstream   Kind = "upstream"
+	Accepted   Kind = "accepted"
+	Returned   Kind = "returned"
 )
 
 // Event is one decision with what decided it.
@@ -73,7 +75,9 @@
 	Deliveries []Delivery
 	// Answers are packets of the target for callers.
 	Answers [][]byte
-	Events  []Event
+	// Served are the times from a request's first packet to its answer's.
+	Served []clock.Millis
+	Events []Event
 }
 
 func (o *Outcome) send(to netip.AddrPort, p *wire.Parcel) {
--- a/internal/process/decisions/decisions.go
+++ b/internal/process/decisions/decisions.go
@@ -38,6 +38,17 @@
 	kept = 1000
 )
 
+// Buckets are the bounds of latency histograms: from a hop inside a failure domain
+// to the longest patience of callers.
+var Buckets = tally.DurationBuckets{
+	time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond,
+	50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond,
+	time.Second, 2 * time.Second, 5 * time.Second,
+}
+
+// timed are the decisions whose age is a latency: how long the flow waited for it.
+var timed = []stream.Kind{stream.Took, stream.Accepted, stream.Found, stream.GaveUp}
+
 // Writer returns a writer that never blocks, and a function that writes what
 // still waits. Lines that find no room are lost and counted in a line.
 func Writer(w io.Writer) (io.Writer, func()) {
@@ -56,21 +67,26 @@
 	limit   *rate.Limiter
 	left    int
 	counter map[stream.Kind]tally.Counter
+	latency map[stream.Kind]tally.Histogram
 }
 
 // NewRecorder returns a recorder. It is used under the lock of the decisions
 // that it records.
 func NewRecorder(log zerolog.Logger, scope tally.Scope) *Recorder {
-	return &Recorder{
+	r := &Recorder{
 		log: log, scope: scope, limit: rate.NewLimiter(linesPerSecond, burst),
-		counter: map[stream.Kind]tally.Counter{},
+		counter: map[stream.Kind]tally.Counter{}, latency: map[stream.Kind]tally.Histogram{},
 	}
+	for _, k := range timed {
+		r.latency[k] = scope.Histogram("latency_"+string(k), Buckets)
+	}
+	return r
 }
 
 // Record takes the events of one outcome.
 func (r *Recorder) Record(events []stream.Event) {
 	for i := range events {
-		r.count(events[i].Kind)
+		r.count(&events[i])
 		if !r.limit.AllowN(time.Now(), 1) {
 			r.left++
 			continue
@@ -79,13 +95,16 @@
 	}
 }
 
-func (r *Recorder) count(k stream.Kind) {
-	c, ok := r.counter[k]
+func (r *Recorder) count(e *stream.Event) {
+	c, ok := r.counter[e.Kind]
 	if !ok {
-		c = r.scope.Counter("decisions_" + string(k))
-		r.counter[k] = c
+		c = r.scope.Counter("decisions_" + string(e.Kind))
+		r.counter[e.Kind] = c
 	}
 	c.Inc(1)
+	if h, ok := r.latency[e.Kind]; ok {
+		h.RecordDuration(e.Age.Duration())
+	}
 }
 
 func (r *Recorder) write(e *stream.Event) {
--- a/internal/process/streamagent/agent.go
+++ b/internal/process/streamagent/agent.go
@@ -119,6 +119,7 @@
 
 	malformed tally.Counter
 	unsent    tally.Counter
+	served    tally.Histogram
 	cancel    context.CancelFunc
 	parts     tasks.Group
 }
@@ -136,6 +137,7 @@
 		settings: settings, deps: deps, balancers: map[netip.AddrPort]*balancer{}, started: now,
 		record:    decisions.NewRecorder(deps.Log, deps.Scope),
 		malformed: deps.Scope.Counter("malformed"), unsent: deps.Scope.Counter("unsent"),
+		served: deps.Scope.Histogram("served", decisions.Buckets),
 	}
 	a.holder = stream.NewHolder(now, stream.HolderSettings{
 		Name: settings.Name, Domain: settings.Domain, Service: settings.Service,
@@ -239,6 +241,9 @@
 			a.unsent.Inc(1)
 		}
 	}
+	for _, d := range out.Served {
+		a.served.RecordDuration(d.Duration())
+	}
 	a.record.Record(out.Events)
 }
 
@@ -390,6 +395,13 @@
 	a.SetSeeds(found)
 }
 
+// Silence closes the sockets without a word, as a loss of power does.
+func (a *Agent) Silence() {
+	a.cancel()
+	_ = a.parcels.Close()
+	_ = a.outbound.Close()
+}
+
 // Ready says why the agent is not ready, or nothing.
 func (a *Agent) Ready() string {
 	return ""
--- /dev/null
+++ b/internal/process/streambalancer/peers_test.go
@@ -0,0 +1,140 @@
+package streambalancer
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+)
+
+const testNow = 24 * clock.Hour
+
+func peerAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i + 1)}), 7000)
+}
+
+func testPeer(i int) Peer {
+	return Peer{Address: peerAddress(i), Name: fmt.Sprintf("b%03d", i), Domain: fmt.Sprint("d", i%3), Epoch: 1}
+}
+
+// heard returns the peers of balancer self that has just heard all of count.
+func heard(self, count int) *Peers {
+	ps := NewPeers(testNow-clock.Minute, testPeer(self), nil)
+	for i := range count {
+		ps.Hear(testNow, testPeer(i))
+	}
+	return ps
+}
+
+// The first balancer of a failure domain reads the platform. It is cut off from
+// it and says so; after a while the next one reads, so that the domain does not
+// keep an old version.
+func TestWatchPassesOn(t *testing.T) {
+	first := testPeer(0)
+	ps := heard(3, 1)
+	watching := first
+	watching.Watching = true
+	ps.Hear(testNow, watching)
+	if ps.Watches(testNow) {
+		t.Error("reads beside a balancer that does")
+	}
+	ps.Hear(testNow+100, first)
+	if ps.Watches(testNow + 200) {
+		t.Error("reads at once")
+	}
+	later := testNow + 200 + watchGrace
+	ps.Hear(later, first)
+	if !ps.Watches(later) {
+		t.Error("does not read although the first one cannot")
+	}
+}
+
+// The first balancer of a failure domain dies; the next one reads.
+func TestWatchAfterDeath(t *testing.T) {
+	watching := testPeer(0)
+	watching.Watching = true
+	ps := heard(3, 0)
+	ps.Hear(testNow, watching)
+	if ps.Watches(testNow + peerLive) {
+		t.Error("reads although the first one may live")
+	}
+	if !ps.Watches(testNow + peerLive + 1) {
+		t.Error("does not read although the first one is silent")
+	}
+}
+
+// Among hundreds each balancer has few neighbours, and news still reach all: the
+// neighbours of neighbours are everybody.
+func TestNeighboursReachAll(t *testing.T) {
+	const count = 490
+	links := make([][]int, count)
+	index := map[netip.AddrPort]int{}
+	for i := range count {
+		index[peerAddress(i)] = i
+	}
+	for i := range count {
+		neighbours := heard(i, count).Neighbours(testNow)
+		if len(neighbours) > nearNeighbours+farNeighbours {
+			t.Fatalf("balancer %d has %d neighbours", i, len(neighbours))
+		}
+		for _, p := range neighbours {
+			links[i] = append(links[i], index[p.Address])
+		}
+	}
+	const rounds = 5
+	knows := map[int]bool{0: true}
+	for range rounds {
+		for i := range knows {
+			for _, n := range links[i] {
+				knows[n] = true
+			}
+		}
+	}
+	if len(knows) != count {
+		t.Errorf("after %d rounds %d of %d balancers have the news", rounds, len(knows), count)
+	}
+}
+
+// A balancer counts as settled only while its neighbours know no target that it
+// does not know. A neighbour that hears more is asked; once it has told all, the
+// difference no longer matters.
+func TestSettled(t *testing.T) {
+	ps := heard(1, 1)
+	other := testPeer(0)
+	other.Digest = 7
+	tell := func(at clock.Millis) { ps.Hear(at, other) }
+	tell(testNow)
+	if ps.Settled(testNow, 5) {
+		t.Error("settled beside a neighbour that knows others")
+	}
+	if !ps.Ask(testNow, other.Address, other.Digest) || ps.Ask(testNow+1, other.Address, other.Digest) {
+		t.Error("want one question, and no second one at once")
+	}
+	ps.Covered(other.Address, other.Digest)
+	ps.Settled(testNow+10, 5)
+	at := testNow + 10 + settleTime + 1
+	tell(at)
+	if !ps.Settled(at, 5) {
+		t.Error("not settled after the neighbour has told all that it knows")
+	}
+	other.Digest = 8
+	tell(at + 1)
+	if ps.Settled(at+1, 5) {
+		t.Error("settled although the neighbour has heard a new target")
+	}
+}
+
+// A balancer that was lost is forgotten after a minute, and one that was only
+// named by others is not forgotten before it could answer.
+func TestForget(t *testing.T) {
+	ps := heard(1, 1)
+	late := testNow + 50*clock.Second
+	ps.Learn(late, peerAddress(9), "b009", "d0")
+	if gone := ps.Forget(testNow + peerKnown + 1); len(gone) != 1 || gone[0].Name != "b000" {
+		t.Errorf("forgotten: %v", gone)
+	}
+	if gone := ps.Forget(late + peerKnown + 1); len(gone) != 1 || gone[0].Name != "b009" {
+		t.Errorf("forgotten later: %v", gone)
+	}
+}
