--- a/internal/connection/stream/steer.go
+++ b/internal/connection/stream/steer.go
@@ -180,117 +180,6 @@
 	s.flows.Remove(id)
 }
 
-// open sends a flow's opening to a target. A copy goes to the target that took
-// the first one; if none has said so yet, to another one, for the first may be
-// dead and accepting twice does no harm.
-func (s *Steerer) open(now clock.Millis, id segment.Flow, f *flow, packet []byte) {
-	if f != nil && f.taken {
-		if t, ok := s.Targets.Find(f.owner); ok && t.Service == f.service && !t.Suspected(now) {
-			f.last = now
-			s.out.send(f.owner, opening(f.service, packet))
-			return
-		}
-	}
-	service, err := s.pick(id)
-	if err != nil {
-		return
-	}
-	if f == nil {
-		f = &flow{}
-		s.flows.Add(id, f)
-	}
-	f.last = now
-	f.service = service
-	f.denied = nil
-	s.place(now, id, f, packet)
-}
-
-// pick chooses the flow's service. A caller at an address that nobody listens
-// at is told at once.
-func (s *Steerer) pick(id segment.Flow) (string, error) {
-	if s.table == nil {
-		s.out.note(Event{Kind: Unrouted, Flow: id, Reason: "no configuration yet"})
-		return "", routing.ErrNoListener
-	}
-	service, err := s.table.Pick(id)
-	if err != nil {
-		s.out.note(Event{Kind: Unrouted, Flow: id, Reason: "no listener", Version: s.version()})
-		s.out.Resets = append(s.out.Resets, Reset{Flow: id})
-	}
-	return service, err
-}
-
-func opening(service string, packet []byte) *wire.Parcel {
-	return &wire.Parcel{Verb: wire.Verb_VERB_OPEN, Service: service, Packet: packet}
-}
-
-// place sends an opening to the target that costs least of those not tried.
-func (s *Steerer) place(now clock.Millis, id segment.Flow, f *flow, packet []byte) {
-	t, ok := s.Targets.Choose(now, f.service, f.tried)
-	if !ok {
-		s.unplaced(now, id, f, packet)
-		return
-	}
-	kind := Opened
-	if len(f.tried) > 0 {
-		kind = Reopened
-	}
-	f.tried = append(f.tried, t.Address)
-	f.pending++
-	f.owner = t.Address
-	s.out.note(Event{
-		Kind: kind, Flow: id, Target: t.Address, Name: t.Name, Service: f.service, Age: now.Sub(t.Heard),
-		Count: len(f.tried), Version: s.version(),
-	})
-	s.out.send(t.Address, opening(f.service, packet))
-}
-
-// unplaced deals with an opening that no target is left for.
-//
-// Where each target has turned it away, the caller is told at once: nothing has
-// run, and it may come back. Where a target may still take it, the opening is
-// forgotten; its next copy comes within half a second and finds the news.
-func (s *Steerer) unplaced(now clock.Millis, id segment.Flow, f *flow, packet []byte) {
-	if f.pending > 0 && len(f.tried) > 0 {
-		s.again(now, id, f, packet)
-		return
-	}
-	refused := len(f.tried) > 0
-	reason := "no target is ready"
-	if refused {
-		reason = "every target turned it away"
-		s.out.Resets = append(s.out.Resets, Reset{Flow: id})
-	}
-	s.out.note(Event{
-		Kind: refusal(refused), Flow: id, Service: f.service, Reason: reason,
-		Count: len(f.tried), Version: s.version(),
-	})
-	s.flows.Remove(id)
-}
-
-func refusal(refused bool) Kind {
-	if refused {
-		return Refused
-	}
-	return NoTarget
-}
-
-// again sends a copy to the targets that have had one already and did not
-// answer: there is no other.
-func (s *Steerer) again(now clock.Millis, id segment.Flow, f *flow, packet []byte) {
-	for _, a := range f.tried {
-		t, ok := s.Targets.Find(a)
-		if !ok || t.Service != f.service || !t.Opens(now) {
-			continue
-		}
-		s.out.note(Event{
-			Kind: Reopened, Flow: id, Target: a, Name: t.Name, Service: f.service, Reason: "no other target",
-			Age: now.Sub(t.Heard), Count: len(f.tried), Version: s.version(),
-		})
-		s.out.send(a, opening(f.service, packet))
-	}
-}
-
 // Hear takes a parcel of an agent. Packets in it are kept no longer than until
 // the outcome is taken, unless a search needs them. It returns the target if it
 // was heard for the first time.
@@ -358,19 +247,6 @@
 	s.begin(now, id, f, p.Packet)
 }
 
-// declined chooses again for an opening that a target returned.
-func (s *Steerer) declined(now clock.Millis, id segment.Flow, f *flow, from netip.AddrPort, p *wire.Parcel) {
-	f.pending = max(f.pending-1, 0)
-	if !slices.Contains(f.tried, from) {
-		f.tried = append(f.tried, from)
-	}
-	s.out.note(Event{Kind: Declined, Flow: id, Target: from, Service: f.service, Reason: p.Cause.String()})
-	if f.taken || f.search != nil {
-		return
-	}
-	s.place(now, id, f, p.Packet)
-}
-
 // answered takes an agent's word about a flow.
 func (s *Steerer) answered(now clock.Millis, from netip.AddrPort, a *wire.Answer) {
 	id, err := segment.ParseFlow(a.Flow)
--- a/internal/process/parcels/parcels.go
+++ b/internal/process/parcels/parcels.go
@@ -9,8 +9,8 @@
 //
 // # Usage
 //
-//	s, err := parcels.Listen(address)
-//	go s.Serve(func(from netip.AddrPort, p *wire.Parcel) { ... })
+//	s, err := parcels.Listen(address, codec, malformed)
+//	go s.Serve(func(from netip.AddrPort, p *wire.Parcel, seg *segment.Segment) { ... })
 //	err = s.Send(to, p)
 package parcels
 
@@ -22,6 +22,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/wagtailtray/wagtailtray/internal/request/segment"
 	"github.com/wagtailtray/wagtailtray/pkg/wire"
 )
 
@@ -35,19 +36,20 @@
 
 // Socket is one UDP socket for parcels.
 type Socket struct {
-	conn *net.UDPConn
-	pool sync.Pool
-	// Malformed is called for a datagram that is no parcel; it may be nil.
-	Malformed func(from netip.AddrPort)
+	conn      *net.UDPConn
+	codec     segment.Codec
+	malformed func(from netip.AddrPort)
+	pool      sync.Pool
 }
 
-// Listen opens the socket.
-func Listen(address netip.AddrPort) (*Socket, error) {
+// Listen opens the socket. malformed is called for a datagram that is no parcel,
+// or whose packet cannot be read.
+func Listen(address netip.AddrPort, codec segment.Codec, malformed func(from netip.AddrPort)) (*Socket, error) {
 	conn, err := ListenUDP(address)
 	if err != nil {
 		return nil, err
 	}
-	s := &Socket{conn: conn}
+	s := &Socket{conn: conn, codec: codec, malformed: malformed}
 	s.pool.New = func() any { return new([]byte) }
 	return s, nil
 }
@@ -85,19 +87,26 @@
 	return errs.Wrap(err)
 }
 
-// Serve hands each parcel to the handler until the socket is closed. The handler
-// may keep the parcel.
-func (s *Socket) Serve(handle func(from netip.AddrPort, p *wire.Parcel)) {
+// Serve hands each parcel, and the segment of its packet if it has one, to the
+// handler until the socket is closed. The handler may keep them.
+func (s *Socket) Serve(handle func(from netip.AddrPort, p *wire.Parcel, seg *segment.Segment)) {
 	in := make([]byte, maxDatagram)
 	Receive(s.conn, in, func(from netip.AddrPort, datagram []byte) {
-		var p wire.Parcel
+		p := &wire.Parcel{}
 		if err := p.UnmarshalVT(datagram); err != nil {
-			if s.Malformed != nil {
-				s.Malformed(from)
-			}
+			s.malformed(from)
 			return
 		}
-		handle(from, &p)
+		if len(p.Packet) == 0 {
+			handle(from, p, nil)
+			return
+		}
+		seg, err := s.codec.Decode(p.Packet)
+		if err != nil {
+			s.malformed(from)
+			return
+		}
+		handle(from, p, &seg)
 	})
 }
 
--- a/internal/process/streamagent/agent.go
+++ b/internal/process/streamagent/agent.go
@@ -20,12 +20,10 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/netip"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -146,13 +144,12 @@
 	})
 	a.SetSeeds(settings.Seeds)
 	var err error
-	if a.parcels, err = parcels.Listen(settings.Parcels); err != nil {
+	if a.parcels, err = parcels.Listen(settings.Parcels, a.deps.Codec, a.unreadable); err != nil {
 		return nil, err
 	}
 	if a.outbound, err = parcels.ListenUDP(settings.Outbound); err != nil {
 		return nil, errs.Combine(err, a.parcels.Close())
 	}
-	a.parcels.Malformed = func(netip.AddrPort) { a.malformed.Inc(1) }
 	ctx, cancel := context.WithCancel(context.Background())
 	a.cancel = cancel
 	a.parts.Go(func() { a.parcels.Serve(a.hear) })
@@ -176,17 +173,13 @@
 	}
 }
 
+// unreadable counts datagrams that are no parcel.
+func (a *Agent) unreadable(netip.AddrPort) {
+	a.malformed.Inc(1)
+}
+
 // hear takes a parcel of a balancer.
-func (a *Agent) hear(from netip.AddrPort, p *wire.Parcel) {
-	var seg *segment.Segment
-	if len(p.Packet) > 0 {
-		s, err := a.deps.Codec.Decode(p.Packet)
-		if err != nil {
-			a.malformed.Inc(1)
-			return
-		}
-		seg = &s
-	}
+func (a *Agent) hear(from netip.AddrPort, p *wire.Parcel, seg *segment.Segment) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.deps.Clock.Now()
@@ -337,64 +330,6 @@
 	}
 }
 
-// look finds out whether anybody listens at the target's address. Only a refusal
-// says that nobody does; a connection that is not made in time says nothing.
-func (a *Agent) look(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
-	defer cancel()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", a.settings.Target.String())
-	if err != nil && !errors.Is(err, syscall.ECONNREFUSED) {
-		return
-	}
-	if err == nil {
-		if err := conn.Close(); err != nil {
-			a.deps.Log.Debug().Str("event", "look").Err(err).Send()
-		}
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	now := a.deps.Clock.Now()
-	before := a.holder.Accepting(now)
-	a.holder.Checked(now, err == nil)
-	if a.holder.Accepting(now) != before {
-		a.tell(now, true)
-	}
-	a.flush()
-}
-
-// finds looks for balancers while none probes this target.
-func (a *Agent) finds(ctx context.Context) {
-	pause := clock.Second
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(pause.Duration()):
-		}
-		pause = clock.Second
-		if a.lonely() {
-			a.find(ctx)
-			pause = findEvery
-		}
-	}
-}
-
-// lonely reports that no balancer probes this target.
-func (a *Agent) lonely() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.deps.Clock.Now().Sub(a.probed) > 2*clock.Second
-}
-
-func (a *Agent) find(ctx context.Context) {
-	found, err := a.deps.Finder.Balancers(ctx)
-	if err != nil {
-		a.deps.Log.Warn().Str("event", "nodirectory").Err(err).Msg("balancers cannot be looked up")
-		return
-	}
-	a.SetSeeds(found)
-}
-
 // Silence closes the sockets without a word, as a loss of power does.
 func (a *Agent) Silence() {
 	a.cancel()
--- /dev/null
+++ b/internal/process/streamagent/look.go
@@ -0,0 +1,69 @@
+package streamagent
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+)
+
+// look finds out whether anybody listens at the target's address. Only a refusal
+// says that nobody does; a connection that is not made in time says nothing.
+func (a *Agent) look(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
+	defer cancel()
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", a.settings.Target.String())
+	if err != nil && !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	if err == nil {
+		if err := conn.Close(); err != nil {
+			a.deps.Log.Debug().Str("event", "look").Err(err).Send()
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.deps.Clock.Now()
+	before := a.holder.Accepting(now)
+	a.holder.Checked(now, err == nil)
+	if a.holder.Accepting(now) != before {
+		a.tell(now, true)
+	}
+	a.flush()
+}
+
+// finds looks for balancers while none probes this target.
+func (a *Agent) finds(ctx context.Context) {
+	pause := clock.Second
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause.Duration()):
+		}
+		pause = clock.Second
+		if a.lonely() {
+			a.find(ctx)
+			pause = findEvery
+		}
+	}
+}
+
+// lonely reports that no balancer probes this target.
+func (a *Agent) lonely() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.deps.Clock.Now().Sub(a.probed) > 2*clock.Second
+}
+
+func (a *Agent) find(ctx context.Context) {
+	found, err := a.deps.Finder.Balancers(ctx)
+	if err != nil {
+		a.deps.Log.Warn().Str("event", "nodirectory").Err(err).Msg("balancers cannot be looked up")
+		return
+	}
+	a.SetSeeds(found)
+}
--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -160,10 +160,9 @@
 	if b.edge, err = parcels.ListenUDP(b.settings.Edge); err != nil {
 		return err
 	}
-	if b.parcels, err = parcels.Listen(b.settings.Parcels); err != nil {
+	if b.parcels, err = parcels.Listen(b.settings.Parcels, b.deps.Codec, b.unreadable); err != nil {
 		return errs.Combine(err, b.edge.Close())
 	}
-	b.parcels.Malformed = func(netip.AddrPort) { b.malformed.Inc(1) }
 	if b.calls, err = net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(b.settings.Parcels)); err != nil {
 		return errs.Combine(errs.Wrap(err), b.edge.Close(), b.parcels.Close())
 	}
@@ -193,17 +192,13 @@
 	})
 }
 
+// unreadable counts datagrams that are no parcel.
+func (b *Balancer) unreadable(netip.AddrPort) {
+	b.malformed.Inc(1)
+}
+
 // hear takes a parcel of an agent or a balancer.
-func (b *Balancer) hear(from netip.AddrPort, p *wire.Parcel) {
-	var seg *segment.Segment
-	if len(p.Packet) > 0 {
-		s, err := b.deps.Codec.Decode(p.Packet)
-		if err != nil {
-			b.malformed.Inc(1)
-			return
-		}
-		seg = &s
-	}
+func (b *Balancer) hear(from netip.AddrPort, p *wire.Parcel, seg *segment.Segment) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.deps.Clock.Now()
