Unsure targets get one packet each; the one that keeps it gets the rest

Packets that came during a search waited for its end, so a flow whose first packet needed no answer stood for a second. Now a search keeps each packet once, hands over the first, waits 250 ms where a target has not returned it, and ends at the last target that is left. Ruled out: the agreement on who there is (settled within 3 s), silent agents.

--- a/internal/connection/stream/search.go
+++ b/internal/connection/stream/search.go
@@ -1,6 +1,7 @@
 package stream
 
 import (
+	"bytes"
 	"net/netip"
 	"slices"
 
@@ -15,6 +16,10 @@
 	// them.
 	nearStage = 15 * clock.Millis(1)
 	wideStage = 60 * clock.Millis(1)
+	// unsureStage is how long a circle is given in which a target was handed the
+	// packet, because its agent is unsure, and has not returned it. A target
+	// returns a packet within a millisecond and answers a request in some tens.
+	unsureStage = 250 * clock.Millis(1)
 	// askAgain is the pause before questions without answer are repeated; it
 	// doubles each time. Thousands of searches at once, after all VMs lost power,
 	// must not fill the links that their answers need.
@@ -29,6 +34,9 @@
 	// mostKept bounds the packets that a search keeps. A caller has at most 16
 	// in flight.
 	mostKept = 16
+	// fewUnsure is up to how many unsure targets get all packets of a search; the
+	// first packet alone tells the others apart.
+	fewUnsure = 2
 	// mostSearches bounds the searches under way: packets of flows that nobody
 	// owns must not cost more than the flows that are there.
 	mostSearches = 4096
@@ -75,9 +83,11 @@
 	began clock.Millis
 	stage stage
 	// known is how many targets there were when the last ones were asked, and
-	// open how many of those asked have not denied the flow.
-	known int
-	open  int
+	// open how many of those asked have not denied the flow, unsure how many of
+	// these were handed its packets.
+	known  int
+	open   int
+	unsure int
 	// due is when time alone changes something next, again when questions are
 	// repeated, and pause what the next pause is.
 	due     clock.Millis
@@ -86,8 +96,11 @@
 	packets [][]byte
 }
 
+// keep keeps a packet, unless it is there already: callers send again what is not
+// answered.
 func (x *search) keep(packet []byte) {
-	if len(x.packets) < mostKept {
+	known := slices.ContainsFunc(x.packets, func(p []byte) bool { return bytes.Equal(p, packet) })
+	if len(x.packets) < mostKept && !known {
 		x.packets = append(x.packets, slices.Clone(packet))
 	}
 }
@@ -173,6 +186,10 @@
 		x.stage++
 		s.ask(now, x)
 	}
+	if x.stage == all && x.open == 1 && x.unsure == 1 {
+		s.eliminate(now, x)
+		return
+	}
 	if x.stage == all && (x.open == 0 || now >= x.again) && s.unowned(now, x) {
 		x.end()
 		s.end(x.id, x.flow, "no target holds it", now.Sub(x.began))
@@ -185,11 +202,33 @@
 	}
 }
 
+// patience is how long the search's circle is given.
+//
+// Failure: all balancers and agents were killed, and the targets live on. Symptom:
+// every agent is unsure, and packets go to all targets everywhere before the owner
+// has answered the first one. An unsure target that does not return the packet is
+// most likely the owner.
 func (x *search) patience() clock.Millis {
-	if x.stage == near {
+	switch {
+	case x.unsure > 0 && x.unsure == x.open:
+		return unsureStage
+	case x.stage == near:
 		return nearStage
+	default:
+		return wideStage
+	}
+}
+
+// eliminate ends a search at the one target that is left: all others have denied
+// the flow.
+func (s *Steerer) eliminate(now clock.Millis, x *search) {
+	for _, t := range s.Targets.Sorted() {
+		q := x.flow.asked[t.Address]
+		if q != nil && q.search == x && q.holding == wire.Holding_HOLDING_UNSURE {
+			s.found(now, x.id, x.flow, t.Address)
+			return
+		}
 	}
-	return wideStage
 }
 
 // repeat asks again where no answer came.
@@ -243,24 +282,45 @@
 	case wire.Holding_HOLDING_NOT:
 		s.denied(now, f, from)
 	case wire.Holding_HOLDING_UNSURE:
-		if q.holding != wire.Holding_HOLDING_NOT {
+		if q.holding == wire.Holding_HOLDING_UNKNOWN {
 			q.holding = holding
-			s.hand(f.search, from, q)
+			f.search.unsure++
+			s.hand(f.search, from, q, 1)
+			s.advance(now, f.search)
+		}
+	}
+}
+
+// add keeps a packet that arrives during a search, and hands it to the targets
+// that may be the owner: an earlier one may have needed no answer.
+func (s *Steerer) add(x *search, packet []byte) {
+	x.keep(packet)
+	s.handOn(x)
+}
+
+// handOn gives the rest of the packets to the last targets that may be the owner.
+func (s *Steerer) handOn(x *search) {
+	if x.unsure == 0 || x.unsure > fewUnsure {
+		return
+	}
+	for _, t := range s.Targets.Sorted() {
+		q := x.flow.asked[t.Address]
+		if q != nil && q.search == x && q.holding == wire.Holding_HOLDING_UNSURE {
+			s.hand(x, t.Address, q, len(x.packets))
 		}
 	}
 }
 
-// hand gives the kept packets to a target whose agent is unsure. The target
-// takes them or returns them.
-func (s *Steerer) hand(x *search, to netip.AddrPort, q *asked) {
+// hand gives a target the kept packets that it was not given yet, up to a number.
+// A target that does not hold the flow returns them.
+func (s *Steerer) hand(x *search, to netip.AddrPort, q *asked, most int) {
 	t, ok := s.Targets.Find(to)
 	if !ok {
 		return
 	}
-	for _, packet := range x.packets[min(q.handed, len(x.packets)):] {
-		s.out.send(to, &wire.Parcel{Verb: wire.Verb_VERB_CARRY, Service: t.Service, Packet: packet})
+	for ; q.handed < min(most, len(x.packets)); q.handed++ {
+		s.out.send(to, &wire.Parcel{Verb: wire.Verb_VERB_CARRY, Service: t.Service, Packet: x.packets[q.handed]})
 	}
-	q.handed = len(x.packets)
 }
 
 // denied notes that a target does not hold the flow.
@@ -272,7 +332,12 @@
 	if q.holding != wire.Holding_HOLDING_NOT {
 		f.search.open--
 	}
+	wasUnsure := q.holding == wire.Holding_HOLDING_UNSURE
 	q.holding, q.at = wire.Holding_HOLDING_NOT, now
+	if wasUnsure {
+		f.search.unsure--
+		s.handOn(f.search)
+	}
 	if t, ok := s.Targets.Find(from); ok {
 		q.from = process{epoch: t.Epoch, born: t.Born}
 	}
@@ -293,7 +358,7 @@
 		Kind: Found, Flow: id, Target: owner, Name: t.Name, Service: t.Service,
 		Age: now.Sub(x.began), Count: len(f.asked), Version: s.version(),
 	})
-	s.hand(x, owner, f.asked[owner])
+	s.hand(x, owner, f.asked[owner], len(x.packets))
 	f.asked = nil
 }
 
--- /dev/null
+++ b/internal/connection/stream/search_test.go
@@ -0,0 +1,153 @@
+package stream
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/wagtailtray/wagtailtray/internal/request/segment"
+	"github.com/wagtailtray/wagtailtray/internal/version/routing"
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+	"github.com/wagtailtray/wagtailtray/pkg/wire"
+)
+
+var testFlow = segment.Flow{Caller: netip.MustParseAddrPort("100.64.0.7:1025"), Listener: worldListener}
+
+// searching returns a balancer in domain a that knows near and far targets of
+// service one, and has just been sent a packet of a flow that it does not know.
+func searching(t *testing.T, near, far int) (*Steerer, []byte) {
+	t.Helper()
+	s := NewSteerer(Settings{Domain: "a", Flows: 100, FlowLife: worldLife})
+	table := &routing.Table{Version: 1, Listeners: []routing.Listener{
+		{Name: "l", Address: worldListener, Shares: []routing.Share{{Service: "one", Weight: 1}}},
+	}}
+	if err := table.Check(); err != nil {
+		t.Fatal(err)
+	}
+	s.SetTable(testNow, table)
+	for i := range near + far {
+		domain := "a"
+		if i >= near {
+			domain = "b"
+		}
+		s.Hear(testNow, worldAddress(2, i), &wire.Parcel{Verb: wire.Verb_VERB_REPORT, Report: &wire.Report{
+			Name: fmt.Sprint("t", i), Domain: domain, Service: "one", Epoch: 1, Sequence: 1, Born: 1,
+			Condition: wire.Condition_CONDITION_READY, Slots: 4,
+		}}, nil)
+	}
+	packet := dataPacket(1)
+	s.Arrive(testNow, decode(packet), packet)
+	return s, packet
+}
+
+func dataPacket(seq uint32) []byte {
+	return encode(segment.Segment{
+		Source: testFlow.Caller, Destination: testFlow.Listener, Flags: segment.Acks, Seq: seq, Ack: 9, Size: 100,
+	})
+}
+
+// sent counts what was sent by verb and target since the last call.
+func sent(s *Steerer) map[wire.Verb]map[netip.AddrPort]int {
+	all := map[wire.Verb]map[netip.AddrPort]int{}
+	for _, send := range s.Take().Sends {
+		v := send.Parcel.Verb
+		if all[v] == nil {
+			all[v] = map[netip.AddrPort]int{}
+		}
+		all[v][send.To]++
+	}
+	return all
+}
+
+func answer(s *Steerer, now clock.Millis, target int, holding wire.Holding) {
+	s.Hear(now, worldAddress(2, target), &wire.Parcel{
+		Verb: wire.Verb_VERB_ANSWER, Flow: segment.AppendFlow(nil, testFlow), Holding: holding,
+	}, nil)
+}
+
+// All balancers and agents were killed, the targets live on: every agent is unsure.
+// The caller waits for the answer to one request. Its packet goes to the targets
+// of the own failure domain once each; the one that does not return it gets what
+// follows, also before it has answered, and nothing crosses domains meanwhile.
+func TestSearchAmongUnsure(t *testing.T) {
+	s, packet := searching(t, 3, 6)
+	if asked := sent(s)[wire.Verb_VERB_ASK]; len(asked) != 3 {
+		t.Errorf("asked %v, want the three targets of the failure domain", asked)
+	}
+	for i := range 3 {
+		answer(s, testNow+1, i, wire.Holding_HOLDING_UNSURE)
+	}
+	handed := sent(s)[wire.Verb_VERB_CARRY]
+	for i := range 3 {
+		if handed[worldAddress(2, i)] != 1 {
+			t.Errorf("packets handed: %v, want one to each of three targets", handed)
+		}
+	}
+	s.Arrive(testNow+2, decode(packet), packet)
+	answer(s, testNow+3, 0, wire.Holding_HOLDING_NOT)
+	answer(s, testNow+3, 1, wire.Holding_HOLDING_NOT)
+	next := dataPacket(101)
+	s.Arrive(testNow+30, decode(next), next)
+	s.Tick(testNow + 60)
+	all := sent(s)
+	if got := all[wire.Verb_VERB_CARRY]; len(got) != 1 || got[worldAddress(2, 2)] != 1 {
+		t.Errorf("packets handed: %v, want the second one to the last target, the repeated one to nobody", got)
+	}
+	if asked := all[wire.Verb_VERB_ASK]; len(asked) > 0 {
+		t.Errorf("asked other failure domains: %v", asked)
+	}
+	answer(s, testNow+70, 2, wire.Holding_HOLDING_OWNED)
+	s.Arrive(testNow+80, decode(next), next)
+	if got := sent(s)[wire.Verb_VERB_CARRY]; got[worldAddress(2, 2)] != 1 {
+		t.Errorf("after the owner was found: %v", got)
+	}
+}
+
+// All other targets have denied the flow: the last one, whose agent is unsure, is
+// its owner, also if it needs to answer nothing.
+func TestSearchEliminates(t *testing.T) {
+	s, _ := searching(t, 1, 2)
+	answer(s, testNow+1, 0, wire.Holding_HOLDING_UNSURE)
+	s.Tick(testNow + 1 + unsureStage + wideStage)
+	answer(s, testNow+400, 1, wire.Holding_HOLDING_NOT)
+	answer(s, testNow+400, 2, wire.Holding_HOLDING_NOT)
+	s.Tick(testNow + 400 + unsureStage)
+	if f, ok := s.flows.Peek(testFlow); !ok || f.owner != worldAddress(2, 0) || !f.taken {
+		t.Errorf("the flow's owner is %+v", f)
+	}
+}
+
+// Nobody holds the flow and everybody has said so. The caller is reset only if
+// this balancer knows all targets that others do; otherwise it hears nothing, for
+// the owner may be one that this balancer has not heard of.
+func TestResetNeedsAgreement(t *testing.T) {
+	for _, settled := range []bool{false, true} {
+		s, _ := searching(t, 1, 1)
+		s.SetSettled(settled)
+		answer(s, testNow+1, 0, wire.Holding_HOLDING_NOT)
+		answer(s, testNow+5, 1, wire.Holding_HOLDING_NOT)
+		out := s.Take()
+		if (len(out.Resets) == 1) != settled {
+			t.Errorf("settled %v: resets %v", settled, out.Resets)
+		}
+	}
+}
+
+// A flow's next search does not ask again who has denied it a moment ago, unless
+// the target or its agent has started anew since.
+func TestDenialsHold(t *testing.T) {
+	s, packet := searching(t, 2, 0)
+	answer(s, testNow+1, 0, wire.Holding_HOLDING_NOT)
+	answer(s, testNow+1, 1, wire.Holding_HOLDING_NOT)
+	later := testNow + searchFor + 100
+	s.Tick(later)
+	s.Take()
+	s.Hear(later, worldAddress(2, 1), &wire.Parcel{Verb: wire.Verb_VERB_REPORT, Report: &wire.Report{
+		Name: "t1", Domain: "a", Service: "one", Epoch: 2, Sequence: 1, Born: 1,
+		Condition: wire.Condition_CONDITION_READY, Slots: 4,
+	}}, nil)
+	s.Arrive(later+1, decode(packet), packet)
+	if asked := sent(s)[wire.Verb_VERB_ASK]; len(asked) != 1 || asked[worldAddress(2, 1)] != 1 {
+		t.Errorf("asked %v, want only the target whose agent has started anew", asked)
+	}
+}
--- a/internal/connection/stream/steer.go
+++ b/internal/connection/stream/steer.go
@@ -135,7 +135,7 @@
 	f.ack = seg.Ack
 	switch {
 	case f.search != nil:
-		f.search.keep(packet)
+		s.add(f.search, packet)
 	case f.owner.IsValid():
 		s.carry(now, id, f, packet)
 	default:
