--- a/internal/process/decisions/story.go
+++ b/internal/process/decisions/story.go
@@ -31,6 +31,9 @@
 	Count   int    `json:"count"`
 	Left    int    `json:"left"`
 	Message string `json:"message"`
+	// Settled and Watching are the beliefs of the events of these names.
+	Settled  *bool `json:"settled"`
+	Watching *bool `json:"watching"`
 }
 
 const (
@@ -47,7 +50,7 @@
 var beliefs = map[string]bool{
 	string(stream.TargetNew): true, string(stream.TargetLost): true, string(stream.TargetBack): true,
 	string(stream.TargetGone): true, string(stream.Upstream): true, "version": true, "settled": true,
-	"start": true, "stop": true, "watch": true, "noconfiguration": true, "peer": true, "inherited": true,
+	"start": true, "stop": true, "watch": true, "noconfiguration": true, "peer": true,
 }
 
 // ReadLines reads logs. What is no line of a log is left out; text before the
@@ -71,33 +74,33 @@
 // Story returns the lines about a flow, and what the processes that it met
 // believed at that time, in order. The flow may be given by its caller only.
 func Story(all []Line, flow string) []Line {
-	var first, last int64
 	met := map[string]bool{}
 	var own []Line
 	for _, l := range all {
 		if l.Flow == "" || l.Flow != flow && !strings.HasPrefix(l.Flow, flow+">") {
 			continue
 		}
-		if len(own) == 0 || l.Time < first {
-			first = l.Time
-		}
-		last = max(last, l.Time)
 		own = append(own, l)
 		met[l.Process] = true
 		met[l.Name] = true
 	}
-	if len(own) == 0 {
-		return nil
-	}
+	byTime := func(a, b Line) int { return cmp.Compare(a.Time, b.Time) }
+	slices.SortStableFunc(own, byTime)
+	story := slices.Clone(own)
 	for _, l := range all {
-		near := l.Time >= first-around && l.Time <= last+around
 		about := met[l.Process] && (l.Name == "" || met[l.Name])
-		if l.Flow == "" && near && about && beliefs[l.Event] {
-			own = append(own, l)
+		if l.Flow == "" && about && beliefs[l.Event] && near(own, l.Time) {
+			story = append(story, l)
 		}
 	}
-	slices.SortStableFunc(own, func(a, b Line) int { return cmp.Compare(a.Time, b.Time) })
-	return own
+	slices.SortStableFunc(story, byTime)
+	return story
+}
+
+// near reports whether one of the lines, which are in order, is close in time.
+func near(lines []Line, time int64) bool {
+	i, _ := slices.BinarySearchFunc(lines, time-around, func(l Line, t int64) int { return cmp.Compare(l.Time, t) })
+	return i < len(lines) && lines[i].Time <= time+around
 }
 
 // WriteStory prints lines, with times from the first one on.
@@ -129,7 +132,16 @@
 		{"count", fmt.Sprint(l.Count)},
 		{"version", fmt.Sprint(l.Version)},
 		{"left", fmt.Sprint(l.Left)},
+		{"settled", belief(l.Settled)},
+		{"watching", belief(l.Watching)},
+	}
+}
+
+func belief(b *bool) string {
+	if b == nil {
+		return ""
 	}
+	return fmt.Sprint(*b)
 }
 
 func quoted(text string) string {
--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -208,6 +208,9 @@
 	case wire.Verb_VERB_OWNERS:
 		if p.Owners != nil {
 			n := b.steerer.Inherit(now, p.Owners.Owners)
+			if n == 0 {
+				break
+			}
 			b.deps.Log.Info().Str("event", "inherited").Stringer("from", from).Int("flows", n).Send()
 		}
 	default:
