--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -54,9 +54,6 @@
 	// a search is under way, whose first stage lasts 15 ms.
 	tick       = 50 * time.Millisecond
 	searchTick = 10 * time.Millisecond
-	// linger is how long a stopping balancer serves on: the fabric looks twice
-	// a second and takes two misses, and packets are still on their way then.
-	linger = 1600 * time.Millisecond
 	// mostFlows bounds the flows that are remembered, some 400 bytes each. At the
 	// size of two years from now a balancer sees 16,000.
 	mostFlows = 65536
@@ -81,6 +78,9 @@
 	Parcels netip.AddrPort
 	// FlowLife is how long a flow may live.
 	FlowLife clock.Millis
+	// Linger is how long a stopping balancer serves on, until the fabric has
+	// noticed that it is not ready.
+	Linger clock.Millis
 	// Seeds are balancers to join through.
 	Seeds []netip.AddrPort
 }
@@ -303,7 +303,7 @@
 	flows := b.steerer.Flows()
 	b.mu.Unlock()
 	b.deps.Log.Info().Str("event", "stop").Int("flows", flows).Msg("balancer stops")
-	time.Sleep(linger)
+	time.Sleep(b.settings.Linger.Duration())
 	b.mu.Lock()
 	b.leave(b.deps.Clock.Now())
 	b.mu.Unlock()
