An opening that arrives during a search ends no process

Cause, from its stack and a test: a late copy of an opening cleared what agents had said of the flow while a search of it was under way, and the search's next circle wrote into the missing map. TestOpeningDuringSearch panicked before.

--- a/internal/connection/stream/opening.go
+++ b/internal/connection/stream/opening.go
@@ -31,7 +31,9 @@
 	}
 	f.last = now
 	f.service = service
-	f.asked = nil
+	if f.search == nil {
+		f.asked = nil
+	}
 	s.place(now, id, f, packet)
 }
 
--- a/internal/connection/stream/search_test.go
+++ b/internal/connection/stream/search_test.go
@@ -198,3 +198,20 @@
 		t.Errorf("the ten oldest searches handed over %d packets, want %d", first, 10*targets)
 	}
 }
+
+// A caller's packet begins a search, and its opening, sent a moment earlier, comes
+// after it: paths differ. The search goes on to wider circles and the opening to a
+// target; the balancer must outlive both.
+func TestOpeningDuringSearch(t *testing.T) {
+	s, _ := searching(t, 1, 2)
+	syn := encode(segment.Segment{Source: testFlow.Caller, Destination: testFlow.Listener, Flags: segment.Opens})
+	s.Arrive(testNow+1, decode(syn), syn)
+	if sent(s)[wire.Verb_VERB_OPEN] == nil {
+		t.Error("the opening went nowhere")
+	}
+	for i := range 3 {
+		answer(s, testNow+clock.Millis(2+i), i, wire.Holding_HOLDING_NOT)
+	}
+	s.Tick(testNow + wideStage + 1)
+	s.Tick(testNow + searchFor + 10)
+}
--- a/internal/connection/stream/world_test.go
+++ b/internal/connection/stream/world_test.go
@@ -26,6 +26,8 @@
 	worldDelay  = 6
 	worldFar    = 2
 	worldCopies = 3
+	worldTwice  = 0.01
+	worldLate   = 400
 )
 
 // moment is one event of the world.
@@ -199,8 +201,11 @@
 	w.failures = append(w.failures, fmt.Sprintf("%.3f ", float64(w.now-24*clock.Hour)/1000)+fmt.Sprintf(format, args...))
 }
 
-// network delivers later, or never.
+// network delivers later, or never, or now and then twice, the second time late.
 func (w *world) network(from, to netip.AddrPort, deliver func()) {
+	if w.random.Float64() < worldTwice {
+		w.after(clock.Millis(1+w.random.IntN(worldLate)), deliver)
+	}
 	if w.random.Float64() < w.loss || w.cut[[2]netip.AddrPort{from, to}] {
 		return
 	}
