--- a/internal/connection/stream/search.go
+++ b/internal/connection/stream/search.go
@@ -39,8 +39,8 @@
 	// first packet alone tells the others apart.
 	fewUnsure = 2
 	// handRate and handBurst bound the packets a second that searches hand to unsure
-	// targets. One costs some 25 us; at the rate they use 40 % of the smallest part
-	// of a core that a balancer gets, 0.06, and leave the rest to flows that are
+	// targets. One is estimated, not measured, at 25 us; at the rate that is 40 % of the smallest part
+	// of a core that a balancer gets, 0.06, and leaves the rest to flows that are
 	// well.
 	handRate  = 1000.0
 	handBurst = 200.0
--- a/internal/connection/stream/upstream.go
+++ b/internal/connection/stream/upstream.go
@@ -3,7 +3,6 @@
 import (
 	"net/netip"
 
-	"github.com/wagtailtray/wagtailtray/internal/request/segment"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
 	"github.com/wagtailtray/wagtailtray/pkg/wire"
 )
@@ -268,8 +267,3 @@
 func (h *Holder) Flows() int {
 	return h.flows.Len()
 }
-
-// Knows reports whether the flow is remembered, for tests and traces.
-func (h *Holder) Knows(id segment.Flow) bool {
-	return h.flows.Contains(id)
-}
--- a/internal/process/decisions/decisions.go
+++ b/internal/process/decisions/decisions.go
@@ -30,8 +30,8 @@
 )
 
 const (
-	// linesPerSecond and burst bound the lines about flows. A line costs some
-	// 20 us; at the budget they use 0.2 % of a core, 3 % of the smallest share
+	// linesPerSecond and burst bound the lines about flows. A line is
+	// estimated, not measured, at 20 us; at the budget that is 0.2 % of a core, 3 % of the smallest share
 	// that a balancer gets.
 	linesPerSecond = 100
 	burst          = 400
--- a/internal/version/routing/routing.go
+++ b/internal/version/routing/routing.go
@@ -214,8 +214,3 @@
 	_, ok := h.known[a][service]
 	return ok
 }
-
-// Known reports whether the listener was ever in force here.
-func (h *History) Known(a netip.AddrPort) bool {
-	return len(h.known[a]) > 0
-}
