A target that resets requests is ejected for a while

The log of such an agent has 55 accepted flows within a quarter of a second: a target that fails everything looks idle, so the balancers of its failure domain sent it every new flow, also those of the callers that it had just reset. Ruled out: the VMs that lost power in the same seconds; failures began at 9.6 s, with the resets, and most were "cut, no answer" at the four targets. Mended: the agent counts requests that its target resets under way. After three in a row it reports the target as failing; balancers give it no new flows unless most targets of the service fail. After 1 s (then 2, 4, 8) two flows may try. A change of the target's condition is told to balancers at once, whatever made it.

Tests: TestEjectTargetThatResets, TestRareResetsEjectNobody, TestResetOfEndedFlowIsNoFailure, TestChooseLeavesOutFailing.

--- a/internal/connection/stream/agent_test.go
+++ b/internal/connection/stream/agent_test.go
@@ -45,6 +45,13 @@
 }
 
 func (w *world) flushAgent(a *worldAgent) {
+	if a.holder.Turned(w.now) {
+		var all []netip.AddrPort
+		for _, b := range w.balancers {
+			all = append(all, b.address)
+		}
+		a.holder.Tell(w.now, all)
+	}
 	out := a.holder.Take()
 	w.note(a.address, out.Events)
 	for _, d := range out.Deliveries {
--- a/internal/connection/stream/choose.go
+++ b/internal/connection/stream/choose.go
@@ -69,10 +69,29 @@
 	}
 }
 
+// mostFail reports that more of a service's targets fail than are ready.
+//
+// Failure: something that all targets need is down, or one caller's requests are
+// such that targets reset them. Symptom: target after target is left out, until
+// the last ones break down under all flows. If most fail, none is left out.
+func mostFail(now clock.Millis, targets map[netip.AddrPort]*Target) bool {
+	ready, fail := 0, 0
+	for _, t := range targets {
+		switch {
+		case t.Opens(now):
+			ready++
+		case t.failing(now):
+			fail++
+		}
+	}
+	return fail > ready
+}
+
 // Choose returns the target for a new flow of a service that was not tried yet:
 // the least loaded one of the balancer's own failure domain, unless that is
 // overloaded and one elsewhere is not. Targets that are suspected or not known to
-// be ready are left out; with none left, the result is false.
+// be ready are left out, and so are those that fail while others do not; with none
+// left, the result is false.
 //
 // Failure: all callers come back at the same moment. Symptom: each balancer
 // counts what it has placed at home since the last reports and sends the rest to
@@ -82,9 +101,11 @@
 	var near, far pick
 	targets := ts.want(now, service)
 	each := flowLoad(targets)
+	all := mostFail(now, targets)
 	placed := 0.0
 	for _, t := range targets {
-		if !t.Opens(now) || slices.Contains(tried, t.Address) {
+		usable := t.Opens(now) || all && t.failing(now)
+		if !usable || slices.Contains(tried, t.Address) {
 			continue
 		}
 		c := ts.cost(now, t, each)
--- a/internal/connection/stream/hold.go
+++ b/internal/connection/stream/hold.go
@@ -87,6 +87,8 @@
 	// denied are flows that the target has returned packets of.
 	denied   *simplelru.LRU[segment.Flow, struct{}]
 	upstream upstream
+	// told is the target's condition that balancers were told last.
+	told     wire.Condition
 	sequence uint64
 	complete bool
 	stopping bool
@@ -151,6 +153,10 @@
 		h.giveBack(now, from, seg, p.Packet, wire.Cause_CAUSE_CLOSED)
 		return
 	}
+	if !ok && !h.upstream.outlier.admits(now) {
+		h.giveBack(now, from, seg, p.Packet, wire.Cause_CAUSE_TRIAL)
+		return
+	}
 	if !ok {
 		f = &held{opened: now}
 		h.flows.Add(id, f)
@@ -290,8 +296,8 @@
 		f.seq, f.accepted = seg.Seq, true
 		h.own(id, f)
 	}
-	if seg.Size > 0 && f.busy != 0 {
-		h.out.Served = append(h.out.Served, now.Sub(f.busy))
+	if f.busy != 0 && f.ended == 0 && (seg.Size > 0 || seg.Flags.Has(segment.Resets)) {
+		h.judge(now, id, f, seg.Size > 0)
 	}
 	if seg.Size > 0 || seg.Flags&(segment.Ends|segment.Resets) != 0 {
 		f.busy = 0
@@ -329,6 +335,9 @@
 // Tick ends what is over and measures the load.
 func (h *Holder) Tick(now clock.Millis) {
 	h.sample(now)
+	if h.upstream.outlier.due(now) {
+		h.noteCondition(now, "on trial")
+	}
 	if now.Sub(h.swept) < sweepEvery {
 		return
 	}
--- a/internal/connection/stream/opening.go
+++ b/internal/connection/stream/opening.go
@@ -112,7 +112,7 @@
 func (s *Steerer) again(now clock.Millis, id segment.Flow, f *flow, packet []byte) {
 	for _, a := range f.tried {
 		t, ok := s.Targets.Find(a)
-		if !ok || t.Service != f.service || !t.Opens(now) {
+		if !ok || t.Service != f.service || !t.Opens(now) && !t.failing(now) {
 			continue
 		}
 		s.out.note(Event{
--- a/internal/connection/stream/outcome.go
+++ b/internal/connection/stream/outcome.go
@@ -50,6 +50,7 @@
 	Upstream   Kind = "upstream"
 	Accepted   Kind = "accepted"
 	Returned   Kind = "returned"
+	Failed     Kind = "failed"
 )
 
 // Event is one decision with what decided it.
--- /dev/null
+++ b/internal/connection/stream/outlier.go
@@ -0,0 +1,110 @@
+package stream
+
+import (
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+)
+
+const (
+	// failureWeight is the weight of the last request in the share of failed
+	// ones: some four requests decide, a tenth of a second of a busy target.
+	failureWeight = 0.25
+	// ejectShare is the share of failed requests from which a target is ejected.
+	// At a target that was well it takes three failures in a row.
+	ejectShare = 0.5
+	// firstEjection is how long a target is ejected at first: callers whose
+	// request fails come back within a second. It doubles each time, up to
+	// longestEjection, and starts anew after a target was well for that long.
+	firstEjection   = clock.Second
+	longestEjection = 8 * clock.Second
+	// trialFlows is how many new flows a target on trial gets at a time: they fail
+	// if it has not recovered.
+	trialFlows = 2
+	// trialWait is how long a trial waits for a verdict until other flows may try:
+	// a caller that opens a flow sends its request at once.
+	trialWait = clock.Second
+)
+
+// phase is how an agent treats its target.
+type phase int
+
+const (
+	trusted phase = iota
+	ejected
+	onTrial
+)
+
+// outlier finds out that a target ends requests without an answer while it still
+// sends heartbeats and accepts flows.
+//
+// Failure: the target resets each flow when a request comes. Symptom: it looks
+// idle, so it gets all new flows, those of the callers that come back included,
+// and one bad target fails the requests of its whole failure domain. Balancers
+// give an ejected target no new flows, so what fails is what is there already,
+// and a few flows when it is tried again.
+//
+// For example: three requests in a row are reset, and the target is ejected for a
+// second. Then two flows may try. If one is answered, it is trusted again; if one
+// is reset, it is ejected for two seconds.
+type outlier struct {
+	phase phase
+	// failed is the share of failed requests, the last ones counting most.
+	failed float64
+	// since is when the phase began, and pause how long the last ejection was.
+	since clock.Millis
+	pause clock.Millis
+	// tries counts the flows of the trial that wait for a verdict, and tried is
+	// when the last one was opened.
+	tries int
+	tried clock.Millis
+}
+
+// answered takes note of a request that was answered. It reports whether the
+// target is trusted again.
+func (o *outlier) answered(now clock.Millis) bool {
+	o.failed -= o.failed * failureWeight
+	if o.phase != onTrial {
+		return false
+	}
+	*o = outlier{failed: ejectShare / 2, since: now, pause: o.pause}
+	return true
+}
+
+// reset takes note of a request that the target ended without an answer. It
+// reports whether the target is to be ejected.
+func (o *outlier) reset(now clock.Millis) bool {
+	o.failed += (1 - o.failed) * failureWeight
+	if o.phase == ejected || o.phase == trusted && o.failed <= ejectShare {
+		return false
+	}
+	if o.phase == trusted && now.Sub(o.since) > longestEjection {
+		o.pause = 0
+	}
+	o.phase, o.since = ejected, now
+	o.pause = min(max(2*o.pause, firstEjection), longestEjection)
+	return true
+}
+
+// due reports that an ejection has ended and the target is tried again.
+func (o *outlier) due(now clock.Millis) bool {
+	if o.phase != ejected || now.Sub(o.since) < o.pause {
+		return false
+	}
+	o.phase, o.since, o.tries = onTrial, now, 0
+	return true
+}
+
+// admits reports whether a new flow may be opened, and counts it.
+func (o *outlier) admits(now clock.Millis) bool {
+	if o.phase != onTrial {
+		return true
+	}
+	if now.Sub(o.tried) > trialWait {
+		o.tries = 0
+	}
+	if o.tries >= trialFlows {
+		return false
+	}
+	o.tries++
+	o.tried = now
+	return true
+}
--- /dev/null
+++ b/internal/connection/stream/outlier_test.go
@@ -0,0 +1,159 @@
+package stream
+
+import (
+	"testing"
+
+	"github.com/wagtailtray/wagtailtray/internal/request/segment"
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+	"github.com/wagtailtray/wagtailtray/pkg/wire"
+)
+
+// faulty is an agent with a target that answers or resets requests as told.
+type faulty struct {
+	t      *testing.T
+	holder *Holder
+	now    clock.Millis
+	port   uint16
+}
+
+func newFaulty(t *testing.T) *faulty {
+	f := &faulty{t: t, now: testNow, port: 1000}
+	f.holder = NewHolder(f.now, HolderSettings{
+		Service: "one", Heartbeat: 1200, SilentAfter: 3600, Flows: 1000, FlowLife: worldLife, Epoch: 1, Port: worldPort,
+	})
+	f.holder.Beat(f.now, Beat{Service: "one", Born: 1, Sequence: 1, Slots: 2})
+	return f
+}
+
+// wait lets time pass, with heartbeats.
+func (f *faulty) wait(d clock.Millis) {
+	for end := f.now + d; f.now < end; f.now += 50 {
+		f.holder.Beat(f.now, Beat{Service: "one", Born: 1, Sequence: uint64(f.now), Slots: 2})
+		f.holder.Tick(f.now)
+	}
+}
+
+// request opens a flow and sends a request, which the target answers or resets
+// 20 ms later. It reports whether the agent took the opening.
+func (f *faulty) request(answered bool) bool {
+	f.port++
+	c := worldAddress(100, int(f.port))
+	hear := func(verb wire.Verb, s segment.Segment) {
+		s.Source, s.Destination = c, worldListener
+		f.holder.Hear(f.now, worldAddress(1, 0), &wire.Parcel{Verb: verb, Service: "one", Packet: encode(s)}, &s)
+	}
+	send := func(s segment.Segment) {
+		s.Source, s.Destination = worldListener, c
+		f.holder.FromTarget(f.now, &s, encode(s))
+	}
+	f.holder.Take()
+	hear(wire.Verb_VERB_OPEN, segment.Segment{Flags: segment.Opens})
+	if len(f.holder.Take().Deliveries) == 0 {
+		return false
+	}
+	send(segment.Segment{Flags: segment.Opens | segment.Acks, Seq: 5})
+	hear(wire.Verb_VERB_CARRY, segment.Segment{Flags: segment.Acks, Ack: 6, Size: 200})
+	f.now += 20
+	if answered {
+		send(segment.Segment{Flags: segment.Acks, Seq: 6, Size: 900})
+	} else {
+		send(segment.Segment{Flags: segment.Resets, Seq: 6})
+	}
+	return true
+}
+
+func (f *faulty) condition() wire.Condition {
+	return f.holder.report(f.now, 0).Condition
+}
+
+// A target goes on sending heartbeats and accepts every flow, but resets each as
+// soon as a request comes. The callers that were reset come back at once, and
+// nothing looks as idle as this target. After three requests the agent says that
+// it fails; it is tried with two flows after a second, and then rarer.
+func TestEjectTargetThatResets(t *testing.T) {
+	f := newFaulty(t)
+	for range 20 {
+		f.request(true)
+	}
+	for range 3 {
+		f.request(false)
+	}
+	if got := f.condition(); got != wire.Condition_CONDITION_FAILING {
+		t.Fatalf("after three requests that were reset the target is %v", got)
+	}
+	failed := 3
+	for end := f.now + 20*clock.Second; f.now < end; {
+		f.wait(50)
+		for f.condition() == wire.Condition_CONDITION_READY && f.request(false) {
+			failed++
+		}
+	}
+	if failed > 15 {
+		t.Errorf("%d requests failed at a target that has reset all for 20 s", failed)
+	}
+	f.wait(longestEjection)
+	if got := f.condition(); got != wire.Condition_CONDITION_READY || !f.request(true) {
+		t.Fatalf("the target is not tried again: %v", got)
+	}
+	for range 10 {
+		if !f.request(true) {
+			t.Error("a target that answers on trial does not get all flows again")
+		}
+	}
+}
+
+// A request fails now and then: callers break off, or a target restarts a worker.
+// That is no reason to take the target away from those that are well.
+func TestRareResetsEjectNobody(t *testing.T) {
+	f := newFaulty(t)
+	for i := range 200 {
+		f.request(i%4 != 0)
+		f.wait(50)
+		if got := f.condition(); got != wire.Condition_CONDITION_READY {
+			t.Fatalf("after %d requests, every fourth of which failed, the target is %v", i+1, got)
+		}
+	}
+}
+
+// A target ends flows that are idle, and answers what still comes on them with a
+// reset, as the protocol wants it: it is well.
+func TestResetOfEndedFlowIsNoFailure(t *testing.T) {
+	f := newFaulty(t)
+	c := worldAddress(100, 1)
+	for range 10 {
+		s := segment.Segment{Source: worldListener, Destination: c, Flags: segment.Ends, Seq: 6}
+		f.holder.FromTarget(f.now, &s, encode(s))
+		in := segment.Segment{Source: c, Destination: worldListener, Flags: segment.Acks, Ack: 6, Size: 200}
+		f.holder.Hear(f.now, worldAddress(1, 0), &wire.Parcel{Verb: wire.Verb_VERB_CARRY, Service: "one", Packet: encode(in)}, &in)
+		s.Flags = segment.Resets
+		f.holder.FromTarget(f.now, &s, encode(s))
+	}
+	if got := f.condition(); got != wire.Condition_CONDITION_READY {
+		t.Errorf("a target that ended a flow is %v", got)
+	}
+}
+
+// failing marks targets of loaded as ejected.
+func failing(ts *Targets, which ...int) {
+	for _, i := range which {
+		t, _ := ts.Find(worldAddress(2, i))
+		t.Condition = wire.Condition_CONDITION_FAILING
+	}
+}
+
+// One target of three fails all requests and therefore looks idle. It gets no new
+// flows. Where most targets fail, the cause is elsewhere, and leaving them out
+// would only bring down the rest: all are used.
+func TestChooseLeavesOutFailing(t *testing.T) {
+	loads := []load{{"a", 30, 1, 0}, {"a", 30, 1, 0}, {"a", 0, 0, 0}}
+	ts := loaded(loads...)
+	failing(ts, 2)
+	if counts := place(ts, 30); counts[2] != 0 {
+		t.Errorf("the failing target got %d of 30 openings", counts[2])
+	}
+	ts = loaded(loads...)
+	failing(ts, 1, 2)
+	if counts := place(ts, 30); counts[1]+counts[2] == 0 {
+		t.Errorf("one target gets all openings while the other two fail: %v", counts)
+	}
+}
--- a/internal/connection/stream/target.go
+++ b/internal/connection/stream/target.go
@@ -107,7 +107,16 @@
 
 // Opens reports whether the target may be chosen for new flows.
 func (t *Target) Opens(now clock.Millis) bool {
-	return t.Condition == wire.Condition_CONDITION_READY && !t.Restarting && !t.Suspected(now)
+	return t.Condition == wire.Condition_CONDITION_READY && t.answers(now)
+}
+
+// failing reports that the target would take new flows, but fails requests.
+func (t *Target) failing(now clock.Millis) bool {
+	return t.Condition == wire.Condition_CONDITION_FAILING && t.answers(now)
+}
+
+func (t *Target) answers(now clock.Millis) bool {
+	return !t.Restarting && !t.Suspected(now)
 }
 
 // group is the targets of one service.
--- a/internal/connection/stream/upstream.go
+++ b/internal/connection/stream/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 
+	"github.com/wagtailtray/wagtailtray/internal/request/segment"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
 	"github.com/wagtailtray/wagtailtray/pkg/wire"
 )
@@ -60,6 +61,8 @@
 	// how often in a row nobody was.
 	checked clock.Millis
 	absent  int
+	// outlier judges how it ends requests.
+	outlier outlier
 }
 
 // sign notes a sign of life.
@@ -209,9 +212,20 @@
 	}
 }
 
-// Accepting reports whether the target takes new flows.
+// Accepting reports whether the target takes new flows. One that fails requests
+// does: balancers send it some only where there is no better one.
 func (h *Holder) Accepting(now clock.Millis) bool {
-	return h.condition(now) == wire.Condition_CONDITION_READY
+	c := h.condition(now)
+	return c == wire.Condition_CONDITION_READY || c == wire.Condition_CONDITION_FAILING
+}
+
+// Turned reports whether the target is in another condition than at the last
+// call. Balancers are to be told at once, for they send it new flows or none.
+func (h *Holder) Turned(now clock.Millis) bool {
+	c := h.condition(now)
+	turned := c != h.told
+	h.told = c
+	return turned
 }
 
 func (h *Holder) condition(now clock.Millis) wire.Condition {
@@ -223,11 +237,40 @@
 		return wire.Condition_CONDITION_UNKNOWN
 	case u.draining:
 		return wire.Condition_CONDITION_DRAINING
+	case u.outlier.phase == ejected:
+		return wire.Condition_CONDITION_FAILING
 	default:
 		return wire.Condition_CONDITION_READY
 	}
 }
 
+// judge takes note of how the target has ended a request that came at a time.
+func (h *Holder) judge(now clock.Millis, id segment.Flow, f *held, answered bool) {
+	o := &h.upstream.outlier
+	if answered {
+		h.out.Served = append(h.out.Served, now.Sub(f.busy))
+		if o.answered(now) {
+			h.noteCondition(now, "answers again")
+		}
+		return
+	}
+	h.out.note(Event{
+		Kind: Failed, Flow: id, Target: f.from, Service: h.settings.Service, Reason: "the target reset it under way",
+		Age: now.Sub(f.busy),
+	})
+	if o.reset(now) {
+		h.noteCondition(now, "resets requests")
+	}
+}
+
+// noteCondition notes that the agent's belief about its target has changed.
+func (h *Holder) noteCondition(now clock.Millis, why string) {
+	h.out.note(Event{
+		Kind: Upstream, Service: h.settings.Service, Reason: h.condition(now).String() + ", " + why,
+		Count: int(h.upstream.sequence), Age: now.Sub(h.upstream.beat),
+	})
+}
+
 // report is the target's state as balancers want it.
 func (h *Holder) report(now clock.Millis, probe uint64) *wire.Report {
 	h.sequence++
--- a/internal/process/streamagent/agent.go
+++ b/internal/process/streamagent/agent.go
@@ -212,9 +212,12 @@
 	})
 }
 
-// flush does what was decided. The lock is held: packets of one flow stay in
-// order.
+// flush does what was decided, and tells the balancers if the target's condition
+// has changed. The lock is held: packets of one flow stay in order.
 func (a *Agent) flush() {
+	if now := a.deps.Clock.Now(); a.holder.Turned(now) {
+		a.tell(now, true)
+	}
 	out := a.holder.Take()
 	for _, d := range out.Deliveries {
 		a.deps.Codec.Mark(d.Packet, d.Echo)
@@ -267,12 +270,7 @@
 	if b.Service != a.settings.Service {
 		return errs.New("streamagent: heartbeat of service %q, not %q", b.Service, a.settings.Service)
 	}
-	now := a.deps.Clock.Now()
-	before := a.holder.Accepting(now)
-	a.holder.Beat(now, b)
-	if a.holder.Accepting(now) != before {
-		a.tell(now, true)
-	}
+	a.holder.Beat(a.deps.Clock.Now(), b)
 	a.flush()
 	return nil
 }
@@ -281,9 +279,7 @@
 func (a *Agent) Leave() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := a.deps.Clock.Now()
-	a.holder.Leave(now)
-	a.tell(now, true)
+	a.holder.Leave(a.deps.Clock.Now())
 	a.flush()
 }
 
--- a/internal/process/streamagent/look.go
+++ b/internal/process/streamagent/look.go
@@ -26,12 +26,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := a.deps.Clock.Now()
-	before := a.holder.Accepting(now)
-	a.holder.Checked(now, err == nil)
-	if a.holder.Accepting(now) != before {
-		a.tell(now, true)
-	}
+	a.holder.Checked(a.deps.Clock.Now(), err == nil)
 	a.flush()
 }
 
