--- a/internal/connection/stream/world_test.go
+++ b/internal/connection/stream/world_test.go
@@ -28,6 +28,8 @@
 	worldCopies = 3
 	worldTwice  = 0.01
 	worldLate   = 400
+	// worldRequest is the size of a request.
+	worldRequest = 200
 )
 
 // moment is one event of the world.
@@ -110,7 +112,10 @@
 	alive    bool
 	draining bool
 	acked    clock.Millis
-	flows    map[segment.Flow]*worldEnd
+	// faulty is until when requests fail: they are reset, or with mute not answered.
+	faulty clock.Millis
+	mute   bool
+	flows  map[segment.Flow]*worldEnd
 }
 
 // worldEnd is a flow at its target.
@@ -125,6 +130,7 @@
 	openedAt *worldTarget
 	owner    *worldAgent
 	seq      uint32
+	sent     uint32
 	began    clock.Millis
 	asked    clock.Millis
 	copies   int
