After a loss of power agents without a target deny flows, and searches cost less

Their looks were refused, but the VM returns packets that are handed over, and each return counted as a sign of life of the target and cleared the refusals. Mended: a returned packet is no sign of life. An agent that hears nothing for two heartbeats, with looks refused or unanswered, reports its target as gone; before, it does not ask to be handed packets that nobody would take.

Tests: TestNoTargetDeniesFlows, TestUnansweredLooksAreNoProof, TestHandsNearFirst. TestWorld: looks that are not answered.

--- a/internal/connection/stream/agent_test.go
+++ b/internal/connection/stream/agent_test.go
@@ -22,7 +22,11 @@
 		}
 		h.Tick(w.now)
 		if h.Doubts(w.now) {
-			h.Checked(w.now, a.target != nil && a.target.alive)
+			found := Listening
+			if a.target == nil || !a.target.alive {
+				found = []Look{Refusing, Unanswered}[w.random.IntN(2)]
+			}
+			h.Checked(w.now, found)
 		}
 		w.flushAgent(a)
 		w.after(50, tick)
--- a/internal/connection/stream/choose_test.go
+++ b/internal/connection/stream/choose_test.go
@@ -142,7 +142,7 @@
 func TestStopWithoutTarget(t *testing.T) {
 	h := NewHolder(testNow, HolderSettings{Service: "one", Heartbeat: 1200, SilentAfter: 3600, Flows: 10, Epoch: 1})
 	for range absences {
-		h.Checked(testNow+1000, false)
+		h.Checked(testNow+1000, Refusing)
 	}
 	h.Stop(testNow + 1001)
 	balancer := worldAddress(1, 0)
--- /dev/null
+++ b/internal/connection/stream/empty_test.go
@@ -0,0 +1,81 @@
+package stream
+
+import (
+	"testing"
+
+	"github.com/wagtailtray/wagtailtray/internal/request/segment"
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+	"github.com/wagtailtray/wagtailtray/pkg/wire"
+)
+
+// alone is an agent that has just started and has not heard of a target.
+func alone() *Holder {
+	return NewHolder(testNow, HolderSettings{
+		Service: "one", Heartbeat: 1200, SilentAfter: 3600, Flows: 10, FlowLife: worldLife, Epoch: 1, Port: worldPort,
+	})
+}
+
+// says asks an agent about a flow.
+func says(h *Holder, now clock.Millis) wire.Holding {
+	h.Take()
+	q := newQuestions()
+	q.add(worldAddress(2, 0), segment.Flow{Caller: worldAddress(100, 0), Listener: worldListener}, 7)
+	var out Outcome
+	q.flush(now, 0, &out)
+	h.Hear(now, worldAddress(1, 0), out.Sends[0].Parcel, nil)
+	return wire.Holding(h.Take().Sends[0].Parcel.Holdings[0])
+}
+
+// handed hands the agent a packet of that flow, which the VM returns.
+func handed(h *Holder, now clock.Millis) {
+	s := segment.Segment{
+		Source: worldAddress(100, 0), Destination: worldListener, Flags: segment.Acks | segment.Returned, Ack: 7,
+	}
+	h.FromTarget(now, &s, encode(s))
+}
+
+// All VMs lost power, also one whose target had left for good. Its agent starts
+// again, with no target. Its VM refuses connections, but returns packets that are
+// handed over. Callers wait for a reset that needs this agent's word: it has to
+// deny all flows once two looks were refused, whatever the VM returns meanwhile.
+func TestNoTargetDeniesFlows(t *testing.T) {
+	h := alone()
+	if got := says(h, testNow+10); got != wire.Holding_HOLDING_UNSURE {
+		t.Errorf("an agent that has just started says %v", got)
+	}
+	for i := range clock.Millis(absences) {
+		h.Checked(testNow+50+i*checkEvery, Refusing)
+		handed(h, testNow+60+i*checkEvery)
+	}
+	if got := says(h, testNow+300); got != wire.Holding_HOLDING_NOT {
+		t.Errorf("after refused looks the agent says %v", got)
+	}
+}
+
+// The same where connections are not answered at all. That is no proof, so the
+// agent says nothing rather than be handed packets that nobody takes or returns,
+// until two heartbeats were due. Then it tells the balancers that there is no
+// target, and nobody waits for it when its VM is taken away.
+func TestUnansweredLooksAreNoProof(t *testing.T) {
+	h := alone()
+	for i := range clock.Millis(3) {
+		h.Checked(testNow+50+i*checkEvery, Unanswered)
+	}
+	if got := says(h, testNow+700); got != wire.Holding_HOLDING_UNKNOWN {
+		t.Errorf("after looks without an answer the agent says %v", got)
+	}
+	if got := h.report(testNow+2300, 0).Condition; got != wire.Condition_CONDITION_UNKNOWN {
+		t.Errorf("before two heartbeats were due the target is %v", got)
+	}
+	later := testNow + emptyBeats*1200 + 1
+	if got := h.report(later, 0).Condition; got != wire.Condition_CONDITION_GONE {
+		t.Errorf("after two heartbeats were due the target is %v", got)
+	}
+	if got := says(h, later); got != wire.Holding_HOLDING_NOT {
+		t.Errorf("after two heartbeats were due the agent says %v", got)
+	}
+	h.Beat(later+1, Beat{Service: "one", Born: 5, Sequence: 1, Slots: 2})
+	if !h.Accepting(later + 1) {
+		t.Error("a target that starts late gets no flows")
+	}
+}
--- a/internal/connection/stream/hold.go
+++ b/internal/connection/stream/hold.go
@@ -164,8 +164,8 @@
 		h.active++
 	}
 	f.from, f.lastIn = from, now
-	if h.upstream.unanswered == 0 {
-		h.upstream.unanswered = now
+	if h.upstream.pending == 0 {
+		h.upstream.pending = now
 	}
 	h.deliver(from, p.Packet)
 }
@@ -249,13 +249,18 @@
 // knowsAll reports that no open flow of the target began before the agent was
 // there to see it.
 func (h *Holder) knowsAll(now clock.Millis) bool {
-	return h.complete || now.Sub(h.started) > h.settings.FlowLife || h.upstream.gone || h.upstream.down()
+	return h.complete || now.Sub(h.started) > h.settings.FlowLife || h.upstream.gone || h.upstream.down() || h.empty(now)
 }
 
 func (h *Holder) asked(now clock.Millis, from netip.AddrPort, p *wire.Parcel) {
 	holdings := make([]byte, 0, len(p.Questions)/questionSize)
 	eachQuestion(p.Questions, func(id segment.Flow, ack uint32) {
-		holdings = append(holdings, byte(h.holding(now, id, ack)))
+		holding := h.holding(now, id, ack)
+		if holding == wire.Holding_HOLDING_UNSURE && h.upstream.missing() {
+			// Nobody would take or return a packet that is handed over.
+			holding = wire.Holding_HOLDING_UNKNOWN
+		}
+		holdings = append(holdings, byte(holding))
 	})
 	h.out.send(from, &wire.Parcel{Verb: wire.Verb_VERB_ANSWER, Number: p.Number, Holdings: holdings})
 }
@@ -273,11 +278,11 @@
 // FromTarget takes a packet of the target: one that it sends to a caller, or a
 // caller's that it returns.
 func (h *Holder) FromTarget(now clock.Millis, seg *segment.Segment, packet []byte) {
-	h.upstream.sign(now)
 	if seg.Flags.Has(segment.Returned) {
 		h.returned(now, seg, packet)
 		return
 	}
+	h.upstream.sign(now)
 	id := seg.FromUpstream()
 	f, ok := h.flows.Get(id)
 	if !ok {
@@ -310,8 +315,10 @@
 }
 
 // returned passes a packet that the target did not take back to the balancer
-// that its mark names.
+// that its mark names. It is no sign of life: where no target runs, the VM returns
+// what is sent to its address.
 func (h *Holder) returned(now clock.Millis, seg *segment.Segment, packet []byte) {
+	h.upstream.pending = 0
 	id := seg.FromCaller()
 	to := h.sender(seg.Echo)
 	if seg.Opening() {
--- a/internal/connection/stream/questions.go
+++ b/internal/connection/stream/questions.go
@@ -12,9 +12,13 @@
 )
 
 const (
-	// gather is how long questions wait for others to the same agent after some
-	// were sent: a fraction of a search's first stage.
-	gather = 5 * clock.Millis(1)
+	// leastGather is how long questions wait for others to the same agent after some
+	// were sent: a fraction of a search's first stage. Each search under way beyond
+	// that many milliseconds times searchesPerMilli makes it longer, up to
+	// mostGather: what a search waits longer, a small balancer has for the answers.
+	leastGather      = 5 * clock.Millis(1)
+	mostGather       = 50 * clock.Millis(1)
+	searchesPerMilli = 4
 	// questionSize is what a question takes in a parcel: a flow and a number.
 	questionSize = 16
 	// mostQuestions keeps a parcel of questions within one frame.
@@ -62,12 +66,13 @@
 
 // flush sends what waits, unless something was sent a moment ago, and forgets the
 // questions whose searches are over.
-func (q *questions) flush(now clock.Millis, out *Outcome) {
+func (q *questions) flush(now clock.Millis, searches int, out *Outcome) {
 	if now.Sub(q.swept) > searchFor {
 		q.swept = now
 		maps.DeleteFunc(q.sent, func(_ uint32, b *batch) bool { return now.Sub(b.at) > searchFor })
 	}
-	if len(q.waiting) == 0 || now.Sub(q.last) < gather {
+	pause := min(max(clock.Millis(searches/searchesPerMilli), leastGather), mostGather)
+	if len(q.waiting) == 0 || now.Sub(q.last) < pause {
 		return
 	}
 	q.last = now
--- a/internal/connection/stream/search.go
+++ b/internal/connection/stream/search.go
@@ -20,7 +20,7 @@
 	// packet, because its agent is unsure, and has not returned it. A target
 	// returns a packet within a millisecond and answers a request in some tens;
 	// one whose agent has just started among all others needs longer.
-	unsureStage = 250 * clock.Millis(1)
+	unsureStage = 700 * clock.Millis(1)
 	// askAgain is the pause before questions without answer are repeated; it
 	// doubles each time. Thousands of searches at once, after all VMs lost power,
 	// must not fill the links that their answers need.
@@ -44,6 +44,9 @@
 	// well.
 	handRate  = 1000.0
 	handBurst = 200.0
+	// handReserve is the part of the burst that is kept for targets of the own
+	// failure domain: most flows never leave it.
+	handReserve = 100.0
 	// mostSearches bounds the searches under way: packets of flows that nobody
 	// owns must not cost more than the flows that are there.
 	mostSearches = 4096
@@ -64,6 +67,8 @@
 // asked is what a target's agent has said of a flow.
 type asked struct {
 	holding wire.Holding
+	// open tells that the search counts it among those that may own the flow.
+	open bool
 	// search is the search that asked last.
 	search *search
 	// handed tells how many of the kept packets the target was handed.
@@ -152,11 +157,16 @@
 			q = &asked{}
 			x.flow.asked[t.Address] = q
 		}
-		q.search, q.handed = x, 0
+		q.search, q.handed, q.open = x, 0, false
 		if q.denies(now, t) {
 			continue
 		}
 		q.holding = wire.Holding_HOLDING_UNKNOWN
+		if t.Lost(now) {
+			// It would not answer; it is asked if it comes back meanwhile.
+			continue
+		}
+		q.open = true
 		x.open++
 		s.question(x, t.Address)
 	}
@@ -180,7 +190,7 @@
 // advance widens a search whose present circle has denied the flow, or was
 // given its time, asks again where no answer came, and ends one that is over.
 func (s *Steerer) advance(now clock.Millis, x *search) {
-	if x.over || now < x.due && x.open > 0 && x.known == s.Targets.Len() {
+	if x.over || now < x.due && x.open > 0 && !x.last() && x.known == s.Targets.Len() {
 		return
 	}
 	if now.Sub(x.began) > searchFor {
@@ -195,7 +205,7 @@
 		x.stage++
 		s.ask(now, x)
 	}
-	if x.stage == all && x.open == 1 && x.unsure == 1 {
+	if x.stage == all && x.last() {
 		s.eliminate(now, x)
 		return
 	}
@@ -211,6 +221,12 @@
 	}
 }
 
+// last reports that one target is left that may own the flow, and was handed its
+// packets.
+func (x *search) last() bool {
+	return x.open == 1 && x.unsure == 1
+}
+
 // patience is how long the search's circle is given.
 //
 // Failure: all balancers and agents were killed, and the targets live on. Symptom:
@@ -253,7 +269,7 @@
 	}
 	for _, t := range s.Targets.Sorted() {
 		q := x.flow.asked[t.Address]
-		if q != nil && q.search == x && q.holding == wire.Holding_HOLDING_UNKNOWN {
+		if q != nil && q.search == x && q.holding == wire.Holding_HOLDING_UNKNOWN && !t.Lost(now) {
 			s.question(x, t.Address)
 		}
 	}
@@ -319,7 +335,7 @@
 		if q == nil || q.search != x || q.holding != wire.Holding_HOLDING_UNSURE || q.handed > 0 {
 			continue
 		}
-		if s.hands < 1 {
+		if s.hands < 1 || t.Domain != s.settings.Domain && s.hands < handReserve {
 			return
 		}
 		s.hands--
@@ -366,7 +382,8 @@
 	if q == nil || q.search != f.search {
 		return
 	}
-	if q.holding != wire.Holding_HOLDING_NOT {
+	if q.open {
+		q.open = false
 		f.search.open--
 	}
 	wasUnsure := q.holding == wire.Holding_HOLDING_UNSURE
--- a/internal/connection/stream/search_test.go
+++ b/internal/connection/stream/search_test.go
@@ -108,10 +108,11 @@
 func TestSearchEliminates(t *testing.T) {
 	s, _ := searching(t, 1, 2)
 	answer(s, testNow+1, 0, wire.Holding_HOLDING_UNSURE)
-	s.Tick(testNow + 1 + unsureStage + wideStage)
-	answer(s, testNow+400, 1, wire.Holding_HOLDING_NOT)
-	answer(s, testNow+400, 2, wire.Holding_HOLDING_NOT)
-	s.Tick(testNow + 400 + unsureStage)
+	widened := testNow + 1 + unsureStage + wideStage
+	s.Tick(widened)
+	answer(s, widened+10, 1, wire.Holding_HOLDING_NOT)
+	answer(s, widened+10, 2, wire.Holding_HOLDING_NOT)
+	s.Tick(widened + 20)
 	if f, ok := s.flows.Peek(testFlow); !ok || f.owner != worldAddress(2, 0) || !f.taken {
 		t.Errorf("the flow's owner is %+v", f)
 	}
@@ -199,6 +200,26 @@
 	}
 }
 
+// A target far away is unsure as well, and hundreds of flows are searched. What may
+// be handed over goes to the own failure domain first, which most flows never
+// leave; a single search far away still gets its packet through.
+func TestHandsNearFirst(t *testing.T) {
+	s, packet := searching(t, 1, 1)
+	answer(s, testNow+1, 0, wire.Holding_HOLDING_NOT)
+	s.Tick(testNow + 10)
+	sent(s)
+	s.hands, s.handed = handReserve-1, testNow+11
+	answer(s, testNow+11, 1, wire.Holding_HOLDING_UNSURE)
+	if got := sent(s)[wire.Verb_VERB_CARRY]; len(got) != 0 {
+		t.Errorf("what is kept for the own failure domain went to %v", got)
+	}
+	s.Arrive(testNow+12, decode(packet), packet)
+	s.Tick(testNow + 30)
+	if got := sent(s)[wire.Verb_VERB_CARRY]; got[worldAddress(2, 1)] != 1 {
+		t.Errorf("packets handed once there is room: %v", got)
+	}
+}
+
 // A caller's packet begins a search, and its opening, sent a moment earlier, comes
 // after it: paths differ. The search goes on to wider circles and the opening to a
 // target; the balancer must outlive both.
--- a/internal/connection/stream/steer.go
+++ b/internal/connection/stream/steer.go
@@ -123,7 +123,7 @@
 // Arrive takes a packet of a caller. The packet may be reused afterwards only
 // when the outcome was taken and sent.
 func (s *Steerer) Arrive(now clock.Millis, seg *segment.Segment, packet []byte) {
-	defer s.questions.flush(now, &s.out)
+	defer s.questions.flush(now, len(s.searches), &s.out)
 	id := seg.FromCaller()
 	f, known := s.flows.Get(id)
 	if seg.Opening() {
@@ -192,7 +192,7 @@
 	case wire.Verb_VERB_ANSWER:
 		s.hearAnswer(now, from, p)
 	}
-	s.questions.flush(now, &s.out)
+	s.questions.flush(now, len(s.searches), &s.out)
 	if !added {
 		return nil, false
 	}
@@ -295,7 +295,7 @@
 		s.advance(now, x)
 	}
 	s.searches = slices.DeleteFunc(s.searches, func(x *search) bool { return x.over })
-	s.questions.flush(now, &s.out)
+	s.questions.flush(now, len(s.searches), &s.out)
 	for _, t := range s.Targets.Forget(now) {
 		s.out.note(Event{Kind: TargetGone, Target: t.Address, Name: t.Name, Service: t.Service, Reason: "silent", Age: now.Sub(t.Heard)})
 	}
--- a/internal/connection/stream/upstream.go
+++ b/internal/connection/stream/upstream.go
@@ -16,9 +16,9 @@
 	// process of the agent to have served it: that one would have had to start,
 	// open a flow, end and be followed within this time, and a process is started
 	// again half a second after its end at the earliest. youngSequence is how
-	// many heartbeats the target may have tried by then.
+	// many heartbeats the target may have tried by then, some 60 ms apart.
 	youngAge      = 400 * clock.Millis(1)
-	youngSequence = 3
+	youngSequence = 6
 	// answerWithin is how long a target may take to answer or return an opening.
 	// It does so in less than a millisecond, unless it is short of processor time.
 	answerWithin = 150 * clock.Millis(1)
@@ -26,6 +26,9 @@
 	// absences how many in a row must find nobody.
 	checkEvery = 200 * clock.Millis(1)
 	absences   = 2
+	// emptyBeats is for how many heartbeats an agent has waited for its target's
+	// first one when there is none.
+	emptyBeats = 2
 )
 
 // Beat is what a target says of itself in one heartbeat.
@@ -54,25 +57,31 @@
 	// beat is when the last heartbeat came, and seen the last sign of life.
 	beat clock.Millis
 	seen clock.Millis
-	// unanswered is when the first opening was handed over since the target's
-	// last packet; zero if none was.
-	unanswered clock.Millis
-	// checked is when it was last looked whether the target is there, and absent
-	// how often in a row nobody was.
-	checked clock.Millis
-	absent  int
+	// pending is when the first opening was handed over since the target's last
+	// packet; zero if none was.
+	pending clock.Millis
+	// checked is when it was last looked whether the target is there; refused and
+	// unanswered count in a row what was found.
+	checked    clock.Millis
+	refused    int
+	unanswered int
 	// outlier judges how it ends requests.
 	outlier outlier
 }
 
 // sign notes a sign of life.
 func (u *upstream) sign(now clock.Millis) {
-	u.seen, u.unanswered, u.absent = now, 0, 0
+	u.seen, u.pending, u.refused, u.unanswered = now, 0, 0, 0
 }
 
 // down reports that there is no target process.
 func (u *upstream) down() bool {
-	return u.absent >= absences
+	return u.refused >= absences
+}
+
+// missing reports that there is no answer from the target's address either way.
+func (u *upstream) missing() bool {
+	return !u.known && u.seen == 0 && u.unanswered > 0
 }
 
 // Beat takes a heartbeat of the target. It is to be acknowledged after this: the
@@ -149,7 +158,7 @@
 func (h *Holder) Doubts(now clock.Millis) bool {
 	u := &h.upstream
 	silent := !u.known || now.Sub(u.beat) > h.settings.Heartbeat+h.settings.Heartbeat/2
-	stuck := u.unanswered != 0 && now.Sub(u.unanswered) > answerWithin
+	stuck := u.pending != 0 && now.Sub(u.pending) > answerWithin
 	if u.gone || !silent && !stuck || now.Sub(u.checked) < checkEvery {
 		return false
 	}
@@ -157,22 +166,51 @@
 	return true
 }
 
-// Checked takes what a look has found: whether anybody listens at the target's
-// address.
-func (h *Holder) Checked(now clock.Millis, listens bool) {
+// Look is what was found at the target's address.
+type Look int
+
+// Findings.
+const (
+	// Listening means that a process accepts connections.
+	Listening Look = iota
+	// Refusing means that the VM says that there is none.
+	Refusing
+	// Unanswered means that nobody said anything in time.
+	Unanswered
+)
+
+// Checked takes what a look has found.
+func (h *Holder) Checked(now clock.Millis, found Look) {
 	u := &h.upstream
-	if listens {
-		u.absent = 0
-		return
-	}
 	before := u.down()
-	u.absent++
+	switch found {
+	case Listening:
+		u.refused, u.unanswered = 0, 0
+	case Refusing:
+		u.refused++
+	case Unanswered:
+		u.unanswered++
+	}
 	if !before && u.down() && u.known {
 		h.out.note(Event{Kind: Upstream, Reason: "nobody listens", Service: h.settings.Service, Age: now.Sub(u.seen)})
 		h.resetOlder(now, 0, "the target has crashed")
 	}
 }
 
+// empty reports that there is no target beside this agent.
+//
+// Failure: a target has left for good, its VM loses power and starts once more,
+// with nothing but the agent. Symptom: an agent that knows nothing of its target
+// is unsure of every flow, so balancers hand it packets of all that they search,
+// and reset nothing on its word; when the VM is taken away they wait for it. A
+// target that lives sends a heartbeat, or a packet, within two heartbeats, and
+// its VM answers a look: without all three there is none.
+func (h *Holder) empty(now clock.Millis) bool {
+	u := &h.upstream
+	nobody := u.refused >= absences || u.unanswered >= absences
+	return !u.known && u.seen == 0 && nobody && now.Sub(h.started) > emptyBeats*h.settings.Heartbeat
+}
+
 // Stop tells the callers of flows whose target has ended. It must only be called
 // once the process ends: where the target has left, it has ended before its
 // agent is told to.
@@ -231,7 +269,7 @@
 func (h *Holder) condition(now clock.Millis) wire.Condition {
 	u := &h.upstream
 	switch {
-	case u.gone:
+	case u.gone || h.empty(now):
 		return wire.Condition_CONDITION_GONE
 	case !u.known || u.down() || now.Sub(u.beat) > h.settings.SilentAfter:
 		return wire.Condition_CONDITION_UNKNOWN
--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -83,15 +83,22 @@
 	return all, nil
 }
 
-// Balancers lists the balancers' addresses.
-func (d *Directory) Balancers(ctx context.Context) ([]netip.AddrPort, error) {
+// Balancers lists the addresses of the balancers of a failure domain, or of all
+// if it has none: the others hear from those.
+func (d *Directory) Balancers(ctx context.Context, domain string) ([]netip.AddrPort, error) {
 	entries, err := d.Entries(ctx)
 	if err != nil {
 		return nil, err
 	}
-	all := make([]netip.AddrPort, len(entries))
-	for i, e := range entries {
-		all[i] = e.Address
+	var near, all []netip.AddrPort
+	for _, e := range entries {
+		all = append(all, e.Address)
+		if e.Domain == domain {
+			near = append(near, e.Address)
+		}
+	}
+	if len(near) > 0 {
+		return near, nil
 	}
 	return all, nil
 }
--- a/internal/process/streamagent/agent.go
+++ b/internal/process/streamagent/agent.go
@@ -44,21 +44,25 @@
 	// target has to return a packet is of this order.
 	tick = 50 * time.Millisecond
 	// tellEvery is how often balancers that do not probe this target are told
-	// that it is there, and tellFirst how often in the first seconds, when they
-	// may be starting as well.
+	// that it is there, and tellFirst how often those that were never heard in the
+	// first seconds, when they may be starting as well: one that starts while
+	// callers wait must not wait for news as well.
 	tellEvery = clock.Second
-	tellFirst = 150 * clock.Millis(1)
+	tellFirst = 50 * clock.Millis(1)
 	firstFor  = 4 * clock.Second
 	// knownFor is how long a balancer that was heard is told of changes.
 	knownFor = 60 * clock.Second
 	// findEvery is how often the directory is asked for balancers while none
 	// probes this target.
 	findEvery = 5 * clock.Second
+	// findFirst is how long after the start that is asked first: the balancers
+	// that the settings name may be starting still, or gone, and others run.
+	findFirst = 60 * clock.Millis(1)
 )
 
-// Finder finds balancers to report to.
+// Finder finds balancers to report to, those of a failure domain if there are some.
 type Finder interface {
-	Balancers(ctx context.Context) ([]netip.AddrPort, error)
+	Balancers(ctx context.Context, domain string) ([]netip.AddrPort, error)
 }
 
 // Settings are what an agent is told at start.
@@ -98,8 +102,9 @@
 // missedBeats is how many heartbeats a target may miss until it gets no new flows.
 const missedBeats = 3
 
-// lookTimeout bounds a look whether the target listens; it is on the same VM.
-const lookTimeout = 200 * time.Millisecond
+// lookTimeout bounds a look whether the target listens; it is on the same VM, which
+// answers within a millisecond.
+const lookTimeout = 100 * time.Millisecond
 
 // Agent is one agent.
 type Agent struct {
@@ -124,6 +129,9 @@
 
 // balancer is a balancer that the agent reports to.
 type balancer struct {
+	// met tells that it has spoken to this process, and heard is when it did last,
+	// or when its address was learned.
+	met   bool
 	heard clock.Millis
 	told  clock.Millis
 }
@@ -188,7 +196,7 @@
 		b = &balancer{}
 		a.balancers[from] = b
 	}
-	b.heard = now
+	b.met, b.heard = true, now
 	if p.Verb == wire.Verb_VERB_PROBE {
 		b.told, a.probed = now, now
 	}
@@ -285,17 +293,18 @@
 
 // tell reports to all balancers, or to those that have not probed for a while.
 func (a *Agent) tell(now clock.Millis, all bool) {
-	pause := tellEvery
-	if now.Sub(a.started) < firstFor {
-		pause = tellFirst
-	}
+	first := now.Sub(a.started) < firstFor
 	var to []netip.AddrPort
 	for address, b := range a.balancers {
+		pause := tellEvery
+		if first && !b.met {
+			pause = tellFirst
+		}
 		if now.Sub(b.heard) > knownFor && len(a.balancers) > 1 {
 			delete(a.balancers, address)
 			continue
 		}
-		if all || now.Sub(b.told) > pause {
+		if all || now.Sub(b.told) >= pause {
 			b.told = now
 			to = append(to, address)
 		}
--- a/internal/process/streamagent/look.go
+++ b/internal/process/streamagent/look.go
@@ -7,32 +7,39 @@
 	"syscall"
 	"time"
 
+	"github.com/wagtailtray/wagtailtray/internal/connection/stream"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
 )
 
-// look finds out whether anybody listens at the target's address. Only a refusal
-// says that nobody does; a connection that is not made in time says nothing.
+// look finds out whether anybody listens at the target's address.
 func (a *Agent) look(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
-	defer cancel()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", a.settings.Target.String())
-	if err != nil && !errors.Is(err, syscall.ECONNREFUSED) {
-		return
-	}
-	if err == nil {
-		if err := conn.Close(); err != nil {
-			a.deps.Log.Debug().Str("event", "look").Err(err).Send()
-		}
+	found, err := a.dial(ctx)
+	if err != nil {
+		a.deps.Log.Debug().Str("event", "look").Err(err).Send()
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.holder.Checked(a.deps.Clock.Now(), err == nil)
+	a.holder.Checked(a.deps.Clock.Now(), found)
 	a.flush()
 }
 
+func (a *Agent) dial(ctx context.Context) (stream.Look, error) {
+	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
+	defer cancel()
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", a.settings.Target.String())
+	switch {
+	case err == nil:
+		return stream.Listening, conn.Close()
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return stream.Refusing, nil
+	default:
+		return stream.Unanswered, err
+	}
+}
+
 // finds looks for balancers while none probes this target.
 func (a *Agent) finds(ctx context.Context) {
-	pause := clock.Second
+	pause := findFirst
 	for {
 		select {
 		case <-ctx.Done():
@@ -55,7 +62,7 @@
 }
 
 func (a *Agent) find(ctx context.Context) {
-	found, err := a.deps.Finder.Balancers(ctx)
+	found, err := a.deps.Finder.Balancers(ctx, a.settings.Domain)
 	if err != nil {
 		a.deps.Log.Warn().Str("event", "nodirectory").Err(err).Msg("balancers cannot be looked up")
 		return
--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -111,6 +111,10 @@
 	// told is the digest of the last news to all neighbours, at toldAt.
 	told   uint64
 	toldAt clock.Millis
+	// unannounced are new targets that the neighbours are not told of yet, and
+	// announced is when they were told of some last.
+	unannounced []*wire.Contact
+	announced   clock.Millis
 	// settled tells that this balancer knows all targets that others do.
 	settled bool
 	// watching tells that the last call of the watch was answered.
--- a/internal/process/streambalancer/news.go
+++ b/internal/process/streambalancer/news.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 
 	"github.com/zeebo/xxh3"
 
@@ -16,6 +17,10 @@
 // owner takes some 36 bytes.
 const ownersPerParcel = 36
 
+// announceEvery is the least pause between announcements of new targets. It is part
+// of settleTime, within which neighbours must have heard of a new target.
+const announceEvery = 50 * clock.Millis(1)
+
 // contactsPerParcel keeps a parcel with contacts below a few frames.
 const contactsPerParcel = 60
 
@@ -76,6 +81,7 @@
 		b.told, b.toldAt = digest, now
 		b.tellAll(now)
 	}
+	b.tellAnnounced(now)
 	b.setSettled(b.peers.Settled(now, digest))
 	for _, p := range b.peers.Due(now) {
 		n := b.news()
@@ -124,15 +130,32 @@
 	}
 }
 
-// announce tells all neighbours of a target that has just been heard, before the
-// first flow is opened there.
+// announce tells all neighbours of a target that has just been heard. Several in
+// quick succession are told together.
+//
+// Failure: all VMs start at once, and each balancer hears of every target within a
+// tenth of a second. Symptom: as many datagrams as targets for each neighbour take
+// a small balancer's time while callers wait.
 func (b *Balancer) announce(now clock.Millis, t *stream.Target) {
+	b.unannounced = append(b.unannounced, contact(t.Address, t.Name, t.Domain, t.Service))
+	b.tellAnnounced(now)
+}
+
+// tellAnnounced tells of the targets that wait to be announced, if it is time.
+func (b *Balancer) tellAnnounced(now clock.Millis) {
+	if len(b.unannounced) == 0 || now.Sub(b.announced) < announceEvery {
+		return
+	}
+	b.announced = now
 	n := b.news()
 	n.Chose = true
-	n.Contacts = []*wire.Contact{contact(t.Address, t.Name, t.Domain, t.Service)}
-	for _, p := range b.peers.Neighbours(now) {
-		b.send(p.Address, &wire.Parcel{Verb: wire.Verb_VERB_NEWS, News: n})
+	for all := range slices.Chunk(b.unannounced, contactsPerParcel) {
+		n.Contacts = all
+		for _, p := range b.peers.Neighbours(now) {
+			b.send(p.Address, &wire.Parcel{Verb: wire.Verb_VERB_NEWS, News: n})
+		}
 	}
+	b.unannounced = nil
 }
 
 // takeNews takes what another balancer tells. The lock is held.
