A balancer that has just started takes no last known target for the owner

The flow's packets went to two targets in turn that do not hold it, for two seconds. The early end made it likely; before it the same could happen whenever the search's next question fell due. Ruled out: the announced restart of the agent; its "unsure" was right. Mended: elimination takes a balancer that knows all targets that others know. TestSearchEliminates covers both.

--- a/internal/connection/stream/search.go
+++ b/internal/connection/stream/search.go
@@ -205,7 +205,7 @@
 		x.stage++
 		s.ask(now, x)
 	}
-	if x.stage == all && x.last() {
+	if x.stage == all && x.last() && s.settled {
 		s.eliminate(now, x)
 		return
 	}
@@ -248,6 +248,10 @@
 
 // eliminate ends a search at the one target that is left: all others have denied
 // the flow.
+//
+// Failure: the balancer has just started, and knows of one target only, whose agent
+// is unsure. Symptom: the packets of a flow that is well go to that target, one
+// after the other. So it takes a balancer that knows all targets that others do.
 func (s *Steerer) eliminate(now clock.Millis, x *search) {
 	for _, t := range s.Targets.Sorted() {
 		q := x.flow.asked[t.Address]
--- a/internal/connection/stream/search_test.go
+++ b/internal/connection/stream/search_test.go
@@ -104,17 +104,26 @@
 }
 
 // All other targets have denied the flow: the last one, whose agent is unsure, is
-// its owner, also if it needs to answer nothing.
+// its owner, also if it needs to answer nothing. A balancer that has just started
+// may not know the owner at all: it must not take the last one that it knows for it,
+// or all packets of the flow go to a target that does not hold it.
 func TestSearchEliminates(t *testing.T) {
-	s, _ := searching(t, 1, 2)
-	answer(s, testNow+1, 0, wire.Holding_HOLDING_UNSURE)
-	widened := testNow + 1 + unsureStage + wideStage
-	s.Tick(widened)
-	answer(s, widened+10, 1, wire.Holding_HOLDING_NOT)
-	answer(s, widened+10, 2, wire.Holding_HOLDING_NOT)
-	s.Tick(widened + 20)
-	if f, ok := s.flows.Peek(testFlow); !ok || f.owner != worldAddress(2, 0) || !f.taken {
-		t.Errorf("the flow's owner is %+v", f)
+	for _, settled := range []bool{true, false} {
+		s, _ := searching(t, 1, 2)
+		s.SetSettled(settled)
+		answer(s, testNow+1, 0, wire.Holding_HOLDING_UNSURE)
+		widened := testNow + 1 + unsureStage + wideStage
+		s.Tick(widened)
+		answer(s, widened+10, 1, wire.Holding_HOLDING_NOT)
+		answer(s, widened+10, 2, wire.Holding_HOLDING_NOT)
+		s.Tick(widened + 20)
+		f, ok := s.flows.Peek(testFlow)
+		if !ok {
+			t.Fatal("the flow is forgotten")
+		}
+		if found := f.owner == worldAddress(2, 0) && f.taken; found != settled {
+			t.Errorf("settled %v: the flow's owner is %+v", settled, f)
+		}
 	}
 }
 
