Malformed datagrams have limited log lines; decisions are split by concept

Before, datagrams that could not be read were only counted, in three places of two processes. decisions.Malformed counts them and logs five at once, then one a second, with socket, sender and what was left out. No decision is changed by the moves; an agent that stops beside no target says that it has gone whether its looks were refused or unanswered.

--- a/internal/connection/stream/hold.go
+++ b/internal/connection/stream/hold.go
@@ -11,24 +11,9 @@
 	"github.com/wagtailtray/wagtailtray/pkg/wire"
 )
 
-const (
-	// activeFor is the silence after which an open flow no longer counts as
-	// load. Callers pause between requests for about a second.
-	activeFor = 5 * clock.Second
-	// busyFor bounds how long a request counts as under way.
-	busyFor = 5 * clock.Second
-	// sweepEvery is how often flows that are over are looked for.
-	sweepEvery = clock.Second
-	// endedFor is how long a flow that has ended is remembered: its last
-	// packets may be sent again, with doubling pauses of up to 1.6 s.
-	endedFor = 10 * clock.Second
-	// loadOver is over how long the requests under way are averaged: some ten
-	// requests of a slot.
-	loadOver = clock.Second
-	// window is how far an acknowledgement may be ahead of the first sequence
-	// number: 64 packets of 1,200 bytes.
-	window = 76_800
-)
+// window is how far an acknowledgement may be ahead of the first sequence
+// number: 64 packets of 1,200 bytes.
+const window = 76_800
 
 // HolderSettings are what a Holder is told at start.
 type HolderSettings struct {
@@ -229,52 +214,6 @@
 	h.deliver(from, p.Packet)
 }
 
-// holding is what the agent knows of a flow whose caller acknowledges ack.
-func (h *Holder) holding(now clock.Millis, id segment.Flow, ack uint32) wire.Holding {
-	f, ok := h.flows.Peek(id)
-	switch {
-	case ok && f.guess:
-		return wire.Holding_HOLDING_UNSURE
-	case ok && !f.open && f.accepted && ack-f.seq > window:
-		return wire.Holding_HOLDING_NOT
-	case ok:
-		return wire.Holding_HOLDING_OWNED
-	case h.denied.Contains(id), h.knowsAll(now):
-		return wire.Holding_HOLDING_NOT
-	default:
-		return wire.Holding_HOLDING_UNSURE
-	}
-}
-
-// knowsAll reports that no open flow of the target began before the agent was
-// there to see it.
-func (h *Holder) knowsAll(now clock.Millis) bool {
-	return h.complete || now.Sub(h.started) > h.settings.FlowLife || h.upstream.gone || h.upstream.down() || h.empty(now)
-}
-
-func (h *Holder) asked(now clock.Millis, from netip.AddrPort, p *wire.Parcel) {
-	holdings := make([]byte, 0, len(p.Questions)/questionSize)
-	eachQuestion(p.Questions, func(id segment.Flow, ack uint32) {
-		holding := h.holding(now, id, ack)
-		if holding == wire.Holding_HOLDING_UNSURE && h.upstream.missing() {
-			// Nobody would take or return a packet that is handed over.
-			holding = wire.Holding_HOLDING_UNKNOWN
-		}
-		holdings = append(holdings, byte(holding))
-	})
-	h.out.send(from, &wire.Parcel{Verb: wire.Verb_VERB_ANSWER, Number: p.Number, Holdings: holdings})
-}
-
-func (h *Holder) answer(to netip.AddrPort, id segment.Flow, holding wire.Holding) {
-	h.out.send(to, &wire.Parcel{Verb: wire.Verb_VERB_ANSWER, Flow: segment.AppendFlow(nil, id), Holding: holding})
-}
-
-func (h *Holder) own(id segment.Flow, f *held) {
-	if f.from.IsValid() {
-		h.answer(f.from, id, wire.Holding_HOLDING_OWNED)
-	}
-}
-
 // FromTarget takes a packet of the target: one that it sends to a caller, or a
 // caller's that it returns.
 func (h *Holder) FromTarget(now clock.Millis, seg *segment.Segment, packet []byte) {
@@ -338,51 +277,3 @@
 	}
 	h.giveBack(now, to, seg, packet, wire.Cause_CAUSE_UNOWNED)
 }
-
-// Tick ends what is over and measures the load.
-func (h *Holder) Tick(now clock.Millis) {
-	h.sample(now)
-	if h.upstream.outlier.due(now) {
-		h.noteCondition(now, "on trial")
-	}
-	if now.Sub(h.swept) < sweepEvery {
-		return
-	}
-	h.swept = now
-	h.active = 0
-	for _, id := range h.flows.Keys() {
-		f, ok := h.flows.Peek(id)
-		if !ok {
-			continue
-		}
-		switch {
-		case h.over(now, f):
-			h.flows.Remove(id)
-		case f.ended == 0 && now.Sub(f.last()) <= activeFor:
-			h.active++
-		}
-	}
-}
-
-// sample adds the requests under way to their mean, weighted by the time since
-// the last sample.
-func (h *Holder) sample(now clock.Millis) {
-	busy := 0
-	for id, f := range h.working {
-		if now.Sub(f.busy) > busyFor {
-			delete(h.working, id)
-			continue
-		}
-		busy++
-	}
-	weight := min(float64(now.Sub(h.sampled))/float64(loadOver), 1)
-	h.load += (float64(busy) - h.load) * weight
-	h.sampled = now
-}
-
-func (h *Holder) over(now clock.Millis, f *held) bool {
-	if f.ended != 0 && now.Sub(f.last()) > endedFor {
-		return true
-	}
-	return now.Sub(f.opened) > h.settings.FlowLife && now.Sub(f.last()) > h.settings.FlowLife
-}
--- /dev/null
+++ b/internal/connection/stream/owners.go
@@ -0,0 +1,42 @@
+package stream
+
+import (
+	"github.com/wagtailtray/wagtailtray/internal/request/segment"
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+	"github.com/wagtailtray/wagtailtray/pkg/wire"
+)
+
+// Owners returns the flows that this balancer knows the owners of, for the one
+// that takes its place.
+func (s *Steerer) Owners(now clock.Millis) []*wire.Owner {
+	var all []*wire.Owner
+	for _, id := range s.flows.Keys() {
+		f, ok := s.flows.Peek(id)
+		if !ok || !f.taken || now.Sub(f.last) > s.settings.FlowLife {
+			continue
+		}
+		all = append(all, &wire.Owner{
+			Flow: segment.AppendFlow(nil, id), Address: segment.AppendAddress(nil, f.owner), Service: f.service,
+		})
+	}
+	return all
+}
+
+// Inherit remembers owners that another balancer knew. What this one has found
+// out itself stays.
+func (s *Steerer) Inherit(now clock.Millis, owners []*wire.Owner) int {
+	taken := 0
+	for _, o := range owners {
+		id, err := segment.ParseFlow(o.Flow)
+		if err != nil {
+			continue
+		}
+		owner, err := segment.ParseAddress(o.Address)
+		if err != nil || s.flows.Contains(id) {
+			continue
+		}
+		s.flows.Add(id, &flow{owner: owner, service: o.Service, taken: true, last: now})
+		taken++
+	}
+	return taken
+}
--- /dev/null
+++ b/internal/connection/stream/probe.go
@@ -0,0 +1,87 @@
+package stream
+
+import (
+	"slices"
+
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+)
+
+// Due returns the targets to probe now and notes that they are.
+//
+// Failure: this process stood still or came late, and its probes of before seem
+// unanswered for long. Symptom: targets that are well are suspected, more probes
+// make it later still, and at last flows are reset that are well. So the time that
+// this process itself was late does not count.
+func (ts *Targets) Due(now clock.Millis) []*Target {
+	late := clock.Millis(0)
+	if ts.ticked != 0 {
+		late = max(now.Sub(ts.ticked)-tickLate, 0)
+	}
+	ts.ticked = now
+	var due []*Target
+	for _, g := range ts.groups {
+		resting := now.Sub(g.wanted) > restAfter
+		for _, t := range g.targets {
+			if t.waiting != 0 {
+				t.waiting += late
+			}
+			if now.Sub(t.probed) < ts.pause(now, t, resting) {
+				continue
+			}
+			t.probed = now
+			if t.waiting == 0 {
+				t.waiting = now
+			}
+			due = append(due, t)
+		}
+	}
+	slices.SortFunc(due, byAddress)
+	for _, t := range due {
+		ts.number++
+		t.probe = ts.number
+	}
+	return due
+}
+
+func (ts *Targets) pause(now clock.Millis, t *Target, resting bool) clock.Millis {
+	switch {
+	case t.waiting != 0 && now.Sub(t.waiting) > suspectAfter:
+		return lostProbe
+	case t.waiting != 0:
+		return againProbe
+	case resting:
+		return restProbe
+	case t.Domain == ts.domain:
+		return nearProbe
+	default:
+		return farProbe
+	}
+}
+
+// Forget removes the targets that were silent for longer than a flow lives, and
+// old notes of targets that left.
+func (ts *Targets) Forget(now clock.Millis) []*Target {
+	var gone []*Target
+	for _, t := range ts.known {
+		if t.waiting != 0 && now.Sub(t.waiting) > forgetAfter {
+			ts.remove(t)
+			gone = append(gone, t)
+		}
+	}
+	for a, at := range ts.left {
+		if now.Sub(at) > tombFor {
+			delete(ts.left, a)
+		}
+	}
+	return gone
+}
+
+// Answering returns how many targets answer probes, and how many there are.
+func (ts *Targets) Answering(now clock.Millis) (answering, all int) {
+	for _, t := range ts.known {
+		if !t.Suspected(now) {
+			answering++
+		}
+	}
+	return answering, len(ts.known)
+}
--- /dev/null
+++ b/internal/connection/stream/report.go
@@ -0,0 +1,80 @@
+package stream
+
+import (
+	"net/netip"
+
+	"github.com/wagtailtray/wagtailtray/internal/request/segment"
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+	"github.com/wagtailtray/wagtailtray/pkg/wire"
+)
+
+// Turned reports whether the target is in another condition than at the last
+// call. Balancers are to be told at once, for they send it new flows or none.
+func (h *Holder) Turned(now clock.Millis) bool {
+	c := h.condition(now)
+	turned := c != h.told
+	h.told = c
+	return turned
+}
+
+// judge takes note of how the target has ended a request that came at a time.
+func (h *Holder) judge(now clock.Millis, id segment.Flow, f *held, answered bool) {
+	o := &h.upstream.outlier
+	if answered {
+		h.out.Served = append(h.out.Served, now.Sub(f.busy))
+		if o.answered(now) {
+			h.noteCondition(now, "answers again")
+		}
+		return
+	}
+	h.out.note(Event{
+		Kind: Failed, Flow: id, Target: f.from, Service: h.settings.Service, Reason: "the target reset it under way",
+		Age: now.Sub(f.busy),
+	})
+	if o.reset(now) {
+		h.noteCondition(now, "resets requests")
+	}
+}
+
+// noteCondition notes that the agent's belief about its target has changed.
+func (h *Holder) noteCondition(now clock.Millis, why string) {
+	h.out.note(Event{
+		Kind: Upstream, Service: h.settings.Service, Reason: h.condition(now).String() + ", " + why,
+		Count: int(h.upstream.sequence), Age: now.Sub(h.upstream.beat),
+	})
+}
+
+// report is the target's state as balancers want it.
+func (h *Holder) report(now clock.Millis, probe uint64) *wire.Report {
+	h.sequence++
+	u := &h.upstream
+	return &wire.Report{
+		Name: h.settings.Name, Domain: h.settings.Domain, Service: h.settings.Service,
+		Epoch: h.settings.Epoch, Sequence: h.sequence, Born: u.born, Condition: h.condition(now),
+		Slots: uint32(u.slots), Flows: uint32(h.active), Busy: uint32(h.load * busyScale),
+		Cold: uint32(max(u.coldUntil.Sub(now), 0)), Restarting: h.stopping, Probe: probe,
+	}
+}
+
+func (h *Holder) probed(now clock.Millis, from netip.AddrPort, p *wire.Parcel) {
+	if p.Report == nil {
+		return
+	}
+	if former := p.Report; former.Epoch != 0 && former.Epoch != h.settings.Epoch && former.Born == h.upstream.born {
+		// The balancer heard an earlier process beside the same target, which
+		// may have opened flows that this one never saw.
+		h.complete = false
+	}
+	h.out.send(from, &wire.Parcel{Verb: wire.Verb_VERB_REPORT, Report: h.report(now, p.Report.Probe)})
+}
+
+// Tell reports to the balancers without being asked.
+func (h *Holder) Tell(now clock.Millis, balancers []netip.AddrPort) {
+	if len(balancers) == 0 {
+		return
+	}
+	p := &wire.Parcel{Verb: wire.Verb_VERB_REPORT, Report: h.report(now, 0)}
+	for _, b := range balancers {
+		h.out.send(b, p)
+	}
+}
--- a/internal/connection/stream/upstream.go
+++ b/internal/connection/stream/upstream.go
@@ -1,9 +1,6 @@
 package stream
 
 import (
-	"net/netip"
-
-	"github.com/wagtailtray/wagtailtray/internal/request/segment"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
 	"github.com/wagtailtray/wagtailtray/pkg/wire"
 )
@@ -19,16 +16,6 @@
 	// many heartbeats the target may have tried by then, some 60 ms apart.
 	youngAge      = 400 * clock.Millis(1)
 	youngSequence = 6
-	// answerWithin is how long a target may take to answer or return an opening.
-	// It does so in less than a millisecond, unless it is short of processor time.
-	answerWithin = 150 * clock.Millis(1)
-	// checkEvery is the pause between two looks whether the target is there, and
-	// absences how many in a row must find nobody.
-	checkEvery = 200 * clock.Millis(1)
-	absences   = 2
-	// emptyBeats is for how many heartbeats an agent has waited for its target's
-	// first one when there is none.
-	emptyBeats = 2
 )
 
 // Beat is what a target says of itself in one heartbeat.
@@ -149,68 +136,6 @@
 	h.out.note(Event{Kind: Upstream, Reason: "left", Service: h.settings.Service, Age: now.Sub(h.upstream.beat)})
 }
 
-// Doubts reports that it is to be looked whether the target is there, and notes
-// that it is done.
-//
-// Failure: the target crashes. Symptom: openings and requests go to nobody until
-// its heartbeats are missed, and callers wait until their patience ends. A
-// crashed process no longer listens, which its own VM says at once.
-func (h *Holder) Doubts(now clock.Millis) bool {
-	u := &h.upstream
-	silent := !u.known || now.Sub(u.beat) > h.settings.Heartbeat+h.settings.Heartbeat/2
-	stuck := u.pending != 0 && now.Sub(u.pending) > answerWithin
-	if u.gone || !silent && !stuck || now.Sub(u.checked) < checkEvery {
-		return false
-	}
-	u.checked = now
-	return true
-}
-
-// Look is what was found at the target's address.
-type Look int
-
-// Findings.
-const (
-	// Listening means that a process accepts connections.
-	Listening Look = iota
-	// Refusing means that the VM says that there is none.
-	Refusing
-	// Unanswered means that nobody said anything in time.
-	Unanswered
-)
-
-// Checked takes what a look has found.
-func (h *Holder) Checked(now clock.Millis, found Look) {
-	u := &h.upstream
-	before := u.down()
-	switch found {
-	case Listening:
-		u.refused, u.unanswered = 0, 0
-	case Refusing:
-		u.refused++
-	case Unanswered:
-		u.unanswered++
-	}
-	if !before && u.down() && u.known {
-		h.out.note(Event{Kind: Upstream, Reason: "nobody listens", Service: h.settings.Service, Age: now.Sub(u.seen)})
-		h.resetOlder(now, 0, "the target has crashed")
-	}
-}
-
-// empty reports that there is no target beside this agent.
-//
-// Failure: a target has left for good, its VM loses power and starts once more,
-// with nothing but the agent. Symptom: an agent that knows nothing of its target
-// is unsure of every flow, so balancers hand it packets of all that they search,
-// and reset nothing on its word; when the VM is taken away they wait for it. A
-// target that lives sends a heartbeat, or a packet, within two heartbeats, and
-// its VM answers a look: without all three there is none.
-func (h *Holder) empty(now clock.Millis) bool {
-	u := &h.upstream
-	nobody := u.refused >= absences || u.unanswered >= absences
-	return !u.known && u.seen == 0 && nobody && now.Sub(h.started) > emptyBeats*h.settings.Heartbeat
-}
-
 // Stop tells the callers of flows whose target has ended. It must only be called
 // once the process ends: where the target has left, it has ended before its
 // agent is told to.
@@ -219,7 +144,7 @@
 // not: its VM may be taken away, and balancers need not wait for this agent.
 func (h *Holder) Stop(now clock.Millis) {
 	h.stopping = true
-	h.upstream.gone = h.upstream.gone || h.upstream.down()
+	h.upstream.gone = h.upstream.gone || h.upstream.down() || h.empty(now)
 	if h.upstream.gone {
 		h.resetOlder(now, 0, "the target has ended")
 	}
@@ -257,15 +182,6 @@
 	return c == wire.Condition_CONDITION_READY || c == wire.Condition_CONDITION_FAILING
 }
 
-// Turned reports whether the target is in another condition than at the last
-// call. Balancers are to be told at once, for they send it new flows or none.
-func (h *Holder) Turned(now clock.Millis) bool {
-	c := h.condition(now)
-	turned := c != h.told
-	h.told = c
-	return turned
-}
-
 func (h *Holder) condition(now clock.Millis) wire.Condition {
 	u := &h.upstream
 	switch {
@@ -282,68 +198,6 @@
 	}
 }
 
-// judge takes note of how the target has ended a request that came at a time.
-func (h *Holder) judge(now clock.Millis, id segment.Flow, f *held, answered bool) {
-	o := &h.upstream.outlier
-	if answered {
-		h.out.Served = append(h.out.Served, now.Sub(f.busy))
-		if o.answered(now) {
-			h.noteCondition(now, "answers again")
-		}
-		return
-	}
-	h.out.note(Event{
-		Kind: Failed, Flow: id, Target: f.from, Service: h.settings.Service, Reason: "the target reset it under way",
-		Age: now.Sub(f.busy),
-	})
-	if o.reset(now) {
-		h.noteCondition(now, "resets requests")
-	}
-}
-
-// noteCondition notes that the agent's belief about its target has changed.
-func (h *Holder) noteCondition(now clock.Millis, why string) {
-	h.out.note(Event{
-		Kind: Upstream, Service: h.settings.Service, Reason: h.condition(now).String() + ", " + why,
-		Count: int(h.upstream.sequence), Age: now.Sub(h.upstream.beat),
-	})
-}
-
-// report is the target's state as balancers want it.
-func (h *Holder) report(now clock.Millis, probe uint64) *wire.Report {
-	h.sequence++
-	u := &h.upstream
-	return &wire.Report{
-		Name: h.settings.Name, Domain: h.settings.Domain, Service: h.settings.Service,
-		Epoch: h.settings.Epoch, Sequence: h.sequence, Born: u.born, Condition: h.condition(now),
-		Slots: uint32(u.slots), Flows: uint32(h.active), Busy: uint32(h.load * busyScale),
-		Cold: uint32(max(u.coldUntil.Sub(now), 0)), Restarting: h.stopping, Probe: probe,
-	}
-}
-
-func (h *Holder) probed(now clock.Millis, from netip.AddrPort, p *wire.Parcel) {
-	if p.Report == nil {
-		return
-	}
-	if former := p.Report; former.Epoch != 0 && former.Epoch != h.settings.Epoch && former.Born == h.upstream.born {
-		// The balancer heard an earlier process beside the same target, which
-		// may have opened flows that this one never saw.
-		h.complete = false
-	}
-	h.out.send(from, &wire.Parcel{Verb: wire.Verb_VERB_REPORT, Report: h.report(now, p.Report.Probe)})
-}
-
-// Tell reports to the balancers without being asked.
-func (h *Holder) Tell(now clock.Millis, balancers []netip.AddrPort) {
-	if len(balancers) == 0 {
-		return
-	}
-	p := &wire.Parcel{Verb: wire.Verb_VERB_REPORT, Report: h.report(now, 0)}
-	for _, b := range balancers {
-		h.out.send(b, p)
-	}
-}
-
 // Flows returns how many flows are remembered.
 func (h *Holder) Flows() int {
 	return h.flows.Len()
--- a/internal/process/parcels/parcels.go
+++ b/internal/process/parcels/parcels.go
@@ -38,13 +38,13 @@
 type Socket struct {
 	conn      *net.UDPConn
 	codec     segment.Codec
-	malformed func(from netip.AddrPort)
+	malformed func(from netip.AddrPort, err error)
 	pool      sync.Pool
 }
 
 // Listen opens the socket. malformed is called for a datagram that is no parcel,
 // or whose packet cannot be read.
-func Listen(address netip.AddrPort, codec segment.Codec, malformed func(from netip.AddrPort)) (*Socket, error) {
+func Listen(address netip.AddrPort, codec segment.Codec, malformed func(from netip.AddrPort, err error)) (*Socket, error) {
 	conn, err := ListenUDP(address)
 	if err != nil {
 		return nil, err
@@ -94,7 +94,7 @@
 	Receive(s.conn, in, func(from netip.AddrPort, datagram []byte) {
 		p := &wire.Parcel{}
 		if err := p.UnmarshalVT(datagram); err != nil {
-			s.malformed(from)
+			s.malformed(from, err)
 			return
 		}
 		if len(p.Packet) == 0 {
@@ -103,7 +103,7 @@
 		}
 		seg, err := s.codec.Decode(p.Packet)
 		if err != nil {
-			s.malformed(from)
+			s.malformed(from, err)
 			return
 		}
 		handle(from, p, &seg)
--- a/internal/process/streamagent/agent.go
+++ b/internal/process/streamagent/agent.go
@@ -120,7 +120,7 @@
 	probed    clock.Millis
 	started   clock.Millis
 
-	malformed tally.Counter
+	malformed *decisions.Malformed
 	unsent    tally.Counter
 	served    tally.Histogram
 	cancel    context.CancelFunc
@@ -142,7 +142,7 @@
 	a := &Agent{
 		settings: settings, deps: deps, balancers: map[netip.AddrPort]*balancer{}, started: now,
 		record:    decisions.NewRecorder(deps.Log, deps.Scope),
-		malformed: deps.Scope.Counter("malformed"), unsent: deps.Scope.Counter("unsent"),
+		malformed: decisions.NewMalformed(deps.Log, deps.Scope), unsent: deps.Scope.Counter("unsent"),
 		served: deps.Scope.Histogram("served", decisions.Buckets),
 	}
 	a.holder = stream.NewHolder(now, stream.HolderSettings{
@@ -181,9 +181,9 @@
 	}
 }
 
-// unreadable counts datagrams that are no parcel.
-func (a *Agent) unreadable(netip.AddrPort) {
-	a.malformed.Inc(1)
+// unreadable notes a datagram that is no parcel.
+func (a *Agent) unreadable(from netip.AddrPort, err error) {
+	a.malformed.Note("parcels", from, err)
 }
 
 // hear takes a parcel of a balancer.
@@ -207,10 +207,10 @@
 // serveTarget takes the packets of the target.
 func (a *Agent) serveTarget() {
 	in := make([]byte, segment.MaxPacket)
-	parcels.Receive(a.outbound, in, func(_ netip.AddrPort, packet []byte) {
+	parcels.Receive(a.outbound, in, func(from netip.AddrPort, packet []byte) {
 		seg, err := a.deps.Codec.Decode(packet)
 		if err != nil {
-			a.malformed.Inc(1)
+			a.malformed.Note("outbound", from, err)
 			return
 		}
 		a.mu.Lock()
@@ -254,7 +254,7 @@
 func (a *Agent) answer(packet []byte) {
 	seg, err := a.deps.Codec.Decode(packet)
 	if err != nil {
-		a.malformed.Inc(1)
+		a.malformed.Note("outbound", a.settings.Target, err)
 		return
 	}
 	a.write(packet, a.caller(seg.Destination.Addr()))
--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -120,7 +120,7 @@
 	// watching tells that the last call of the watch was answered.
 	watching bool
 
-	malformed tally.Counter
+	malformed *decisions.Malformed
 	unsent    tally.Counter
 	forwarded tally.Counter
 	// updated wakes the loop that reads the platform.
@@ -137,7 +137,7 @@
 			Domain: settings.Domain, Flows: mostFlows, FlowLife: settings.FlowLife,
 		}),
 		record:    decisions.NewRecorder(deps.Log, deps.Scope),
-		malformed: deps.Scope.Counter("malformed"), unsent: deps.Scope.Counter("unsent"),
+		malformed: decisions.NewMalformed(deps.Log, deps.Scope), unsent: deps.Scope.Counter("unsent"),
 		forwarded: deps.Scope.Counter("packets"), updated: make(chan struct{}, 1),
 	}
 	b.peers = NewPeers(deps.Clock.Now(), Peer{
@@ -184,10 +184,10 @@
 // serveEdge takes callers' packets.
 func (b *Balancer) serveEdge() {
 	in := make([]byte, segment.MaxPacket)
-	parcels.Receive(b.edge, in, func(_ netip.AddrPort, packet []byte) {
+	parcels.Receive(b.edge, in, func(from netip.AddrPort, packet []byte) {
 		seg, err := b.deps.Codec.Decode(packet)
 		if err != nil {
-			b.malformed.Inc(1)
+			b.malformed.Note("edge", from, err)
 			return
 		}
 		b.mu.Lock()
@@ -197,9 +197,9 @@
 	})
 }
 
-// unreadable counts datagrams that are no parcel.
-func (b *Balancer) unreadable(netip.AddrPort) {
-	b.malformed.Inc(1)
+// unreadable notes a datagram that is no parcel.
+func (b *Balancer) unreadable(from netip.AddrPort, err error) {
+	b.malformed.Note("parcels", from, err)
 }
 
 // hear takes a parcel of an agent or a balancer.
--- a/internal/process/streambalancer/news.go
+++ b/internal/process/streambalancer/news.go
@@ -167,7 +167,7 @@
 		Address: from, Name: n.Self.Name, Domain: n.Self.Domain, Epoch: n.Epoch, Version: n.Version,
 		Watching: n.Watching, Leaving: n.Leaving, Digest: n.Digest, Chose: n.Chose,
 	})
-	learned := b.learn(now, n.Contacts)
+	learned := b.learn(now, from, n.Contacts)
 	if n.Complete && !learned {
 		b.peers.Covered(from, n.Digest)
 	}
@@ -199,12 +199,12 @@
 }
 
 // learn takes contacts, and reports whether a target among them is new.
-func (b *Balancer) learn(now clock.Millis, contacts []*wire.Contact) bool {
+func (b *Balancer) learn(now clock.Millis, from netip.AddrPort, contacts []*wire.Contact) bool {
 	learned := false
 	for _, c := range contacts {
 		a, err := segment.ParseAddress(c.Address)
 		if err != nil {
-			b.malformed.Inc(1)
+			b.malformed.Note("parcels", from, err)
 			continue
 		}
 		if c.Service == "" {
