--- a/internal/process/streambalancer/configure.go
+++ b/internal/process/streambalancer/configure.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/wagtailtray/wagtailtray/internal/process/directory"
@@ -159,8 +160,11 @@
 	return true
 }
 
-// register writes this balancer's entry into the directory and joins those that
-// are there.
+// register joins the balancers that are in the directory, and writes this one's
+// entry unless it is there: most starts are restarts, and a list costs the platform
+// less than a write. The list may be some seconds old. An entry that was removed
+// meanwhile, after a minute of silence, is missed until the next start; others
+// still tell of this balancer.
 func (b *Balancer) register(ctx context.Context) {
 	entry := directory.Entry{Name: b.settings.Name, Address: b.settings.Parcels, Domain: b.settings.Domain}
 	for !b.registered(ctx, entry) {
@@ -175,20 +179,27 @@
 func (b *Balancer) registered(ctx context.Context, entry directory.Entry) bool {
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
-	if err := b.deps.Directory.Register(ctx, entry); err != nil {
-		b.deps.Log.Warn().Str("event", "unregistered").Err(err).Msg("the directory cannot be written")
-		return false
-	}
 	entries, err := b.deps.Directory.Entries(ctx)
 	if err != nil {
 		b.deps.Log.Warn().Str("event", "nodirectory").Err(err).Msg("the directory cannot be read")
 		return false
 	}
+	b.join(entries)
+	if !slices.Contains(entries, entry) {
+		if err := b.deps.Directory.Register(ctx, entry); err != nil {
+			b.deps.Log.Warn().Str("event", "unregistered").Err(err).Msg("the directory cannot be written")
+			return false
+		}
+	}
+	b.deps.Log.Info().Str("event", "registered").Int("entries", len(entries)).Send()
+	return true
+}
+
+// join makes the balancers of the directory known.
+func (b *Balancer) join(entries []directory.Entry) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, e := range entries {
 		b.peers.Learn(b.deps.Clock.Now(), e.Address, e.Name, e.Domain)
 	}
-	b.deps.Log.Info().Str("event", "registered").Int("entries", len(entries)).Send()
-	return true
 }
