--- a/internal/connection/stream/doc.go
+++ b/internal/connection/stream/doc.go
@@ -36,6 +36,15 @@
 // while another target can be had; packets of its flows still go to it. Silence
 // removes nothing.
 //
+// # Outliers
+//
+// A target may be there and fail: it accepts flows and resets them when a request
+// comes. Its agent sees that and reports it as failing. It gets no new flows then,
+// unless most targets of the service fail, and is tried with two flows now and then.
+//
+// For example, T1 resets three requests in a row. Balancers choose T2 and T3 for a
+// second. Then two flows go to T1: one is reset, and T1 is left out for two seconds.
+//
 // # Usage
 //
 //	s := stream.NewSteerer(stream.Settings{...})
