--- a/internal/connection/stream/outlier_test.go
+++ b/internal/connection/stream/outlier_test.go
@@ -1,6 +1,7 @@
 package stream
 
 import (
+	"net/netip"
 	"testing"
 
 	"github.com/wagtailtray/wagtailtray/internal/request/segment"
@@ -36,32 +37,45 @@
 // request opens a flow and sends a request, which the target answers or resets
 // 20 ms later. It reports whether the agent took the opening.
 func (f *faulty) request(answered bool) bool {
-	f.port++
-	c := worldAddress(100, int(f.port))
-	hear := func(verb wire.Verb, s segment.Segment) {
-		s.Source, s.Destination = c, worldListener
-		f.holder.Hear(f.now, worldAddress(1, 0), &wire.Parcel{Verb: verb, Service: "one", Packet: encode(s)}, &s)
-	}
-	send := func(s segment.Segment) {
-		s.Source, s.Destination = worldListener, c
-		f.holder.FromTarget(f.now, &s, encode(s))
-	}
-	f.holder.Take()
-	hear(wire.Verb_VERB_OPEN, segment.Segment{Flags: segment.Opens})
-	if len(f.holder.Take().Deliveries) == 0 {
+	c, ok := f.ask()
+	if !ok {
 		return false
 	}
-	send(segment.Segment{Flags: segment.Opens | segment.Acks, Seq: 5})
-	hear(wire.Verb_VERB_CARRY, segment.Segment{Flags: segment.Acks, Ack: 6, Size: 200})
 	f.now += 20
 	if answered {
-		send(segment.Segment{Flags: segment.Acks, Seq: 6, Size: 900})
+		f.send(c, segment.Segment{Flags: segment.Acks, Seq: 6, Size: 900})
 	} else {
-		send(segment.Segment{Flags: segment.Resets, Seq: 6})
+		f.send(c, segment.Segment{Flags: segment.Resets, Seq: 6})
 	}
 	return true
 }
 
+// ask opens a flow and sends a request, unless the agent returns the opening.
+func (f *faulty) ask() (netip.AddrPort, bool) {
+	f.port++
+	c := worldAddress(100, int(f.port))
+	f.holder.Take()
+	f.hear(c, wire.Verb_VERB_OPEN, segment.Segment{Flags: segment.Opens})
+	if len(f.holder.Take().Deliveries) == 0 {
+		return c, false
+	}
+	f.send(c, segment.Segment{Flags: segment.Opens | segment.Acks, Seq: 5})
+	f.hear(c, wire.Verb_VERB_CARRY, segment.Segment{Flags: segment.Acks, Ack: 6, Size: 200})
+	return c, true
+}
+
+// hear brings a caller's packet to the agent.
+func (f *faulty) hear(c netip.AddrPort, verb wire.Verb, s segment.Segment) {
+	s.Source, s.Destination = c, worldListener
+	f.holder.Hear(f.now, worldAddress(1, 0), &wire.Parcel{Verb: verb, Service: "one", Packet: encode(s)}, &s)
+}
+
+// send is a packet of the target.
+func (f *faulty) send(c netip.AddrPort, s segment.Segment) {
+	s.Source, s.Destination = worldListener, c
+	f.holder.FromTarget(f.now, &s, encode(s))
+}
+
 func (f *faulty) condition() wire.Condition {
 	return f.holder.report(f.now, 0).Condition
 }
@@ -102,6 +116,34 @@
 	}
 }
 
+// A failing target is tried again, and a burst of openings reaches it before it has
+// answered one. Two of them show whether it has recovered; the others are returned,
+// or they would all fail with it. If the two never get as far as a request, others
+// may try a second later.
+func TestTrialIsLimited(t *testing.T) {
+	f := newFaulty(t)
+	for range 3 {
+		f.request(false)
+	}
+	f.wait(firstEjection + 100)
+	count := func() int {
+		taken := 0
+		for range 10 {
+			if _, ok := f.ask(); ok {
+				taken++
+			}
+		}
+		return taken
+	}
+	if got := count(); got != trialFlows {
+		t.Errorf("%d of 10 openings reached a target on trial, want %d", got, trialFlows)
+	}
+	f.wait(trialWait + 100)
+	if got := count(); got != trialFlows {
+		t.Errorf("a second later %d of 10 openings reached it, want %d", got, trialFlows)
+	}
+}
+
 // A request fails now and then: callers break off, or a target restarts a worker.
 // That is no reason to take the target away from those that are well.
 func TestRareResetsEjectNobody(t *testing.T) {
@@ -121,12 +163,9 @@
 	f := newFaulty(t)
 	c := worldAddress(100, 1)
 	for range 10 {
-		s := segment.Segment{Source: worldListener, Destination: c, Flags: segment.Ends, Seq: 6}
-		f.holder.FromTarget(f.now, &s, encode(s))
-		in := segment.Segment{Source: c, Destination: worldListener, Flags: segment.Acks, Ack: 6, Size: 200}
-		f.holder.Hear(f.now, worldAddress(1, 0), &wire.Parcel{Verb: wire.Verb_VERB_CARRY, Service: "one", Packet: encode(in)}, &in)
-		s.Flags = segment.Resets
-		f.holder.FromTarget(f.now, &s, encode(s))
+		f.send(c, segment.Segment{Flags: segment.Ends, Seq: 6})
+		f.hear(c, wire.Verb_VERB_CARRY, segment.Segment{Flags: segment.Acks, Ack: 6, Size: 200})
+		f.send(c, segment.Segment{Flags: segment.Resets, Seq: 6})
 	}
 	if got := f.condition(); got != wire.Condition_CONDITION_READY {
 		t.Errorf("a target that ended a flow is %v", got)
--- a/internal/connection/stream/search_test.go
+++ b/internal/connection/stream/search_test.go
@@ -209,6 +209,59 @@
 	}
 }
 
+// A VM was taken away and its target counts as lost. A caller's flow is searched:
+// the lost target is not asked, for it cannot answer, and once the others have denied
+// the flow its caller is reset without waiting for another round of questions.
+func TestLostTargetIsNotAsked(t *testing.T) {
+	s, _ := searching(t, 2, 0)
+	s.SetSettled(true)
+	lost := worldAddress(2, 1)
+	now := testNow
+	for ; now < testNow+deadAfter+clock.Second; now += 50 {
+		s.Tick(now)
+		s.Hear(now, worldAddress(2, 0), &wire.Parcel{Verb: wire.Verb_VERB_REPORT, Report: &wire.Report{
+			Name: "t0", Domain: "a", Service: "one", Epoch: 1, Sequence: uint64(now), Born: 1,
+			Condition: wire.Condition_CONDITION_READY, Slots: 4,
+		}}, nil)
+	}
+	s.Hear(now, worldAddress(2, 2), &wire.Parcel{Verb: wire.Verb_VERB_REPORT, Report: &wire.Report{
+		Name: "t2", Domain: "a", Service: "one", Epoch: 1, Sequence: 1, Born: 1,
+		Condition: wire.Condition_CONDITION_READY, Slots: 4,
+	}}, nil)
+	s.Take()
+	packet := dataPacket(5000)
+	s.Arrive(now, decode(packet), packet)
+	if asked := sent(s)[wire.Verb_VERB_ASK]; asked[lost] != 0 || len(asked) != 2 {
+		t.Errorf("asked %v, want the two that answer", asked)
+	}
+	answer(s, now+1, 0, wire.Holding_HOLDING_NOT)
+	answer(s, now+2, 2, wire.Holding_HOLDING_NOT)
+	if resets := s.Take().Resets; len(resets) != 1 {
+		t.Errorf("after all others have denied the flow there are %d resets", len(resets))
+	}
+}
+
+// Hundreds of flows are searched at a small balancer, a packet of one every
+// millisecond. Their questions to one target leave together, so that its processor
+// has time for the answers: it sends each target at most one datagram in the longest
+// pause, and half a second of them is a tenth of the flows.
+func TestQuestionsGatherUnderLoad(t *testing.T) {
+	s, _ := searching(t, 3, 0)
+	s.Take()
+	const flows = 500
+	asked := 0
+	for i := range flows {
+		packet := encode(segment.Segment{
+			Source: worldAddress(100, i), Destination: worldListener, Flags: segment.Acks, Seq: 1, Ack: 9, Size: 100,
+		})
+		s.Arrive(testNow+clock.Millis(i), decode(packet), packet)
+		asked += sent(s)[wire.Verb_VERB_ASK][worldAddress(2, 0)]
+	}
+	if asked > flows/10 {
+		t.Errorf("the questions about %d flows took %d datagrams to one target", flows, asked)
+	}
+}
+
 // A target far away is unsure as well, and hundreds of flows are searched. What may
 // be handed over goes to the own failure domain first, which most flows never
 // leave; a single search far away still gets its packet through.
