Dead parts of the routing table go; both processes read packets with one function

Nothing used a service's health path: targets are judged by heartbeats, looks and how they end requests. Agent.Silence reports errors of closing.

--- a/internal/process/parcels/parcels.go
+++ b/internal/process/parcels/parcels.go
@@ -110,6 +110,23 @@
 	})
 }
 
+// Packets hands each packet of a flow that arrives at a socket, with its segment, to
+// the handler until the socket is closed. The handler must not keep the packet.
+func Packets(
+	conn *net.UDPConn, codec segment.Codec, malformed func(from netip.AddrPort, err error),
+	handle func(seg *segment.Segment, packet []byte),
+) {
+	in := make([]byte, segment.MaxPacket)
+	Receive(conn, in, func(from netip.AddrPort, packet []byte) {
+		seg, err := codec.Decode(packet)
+		if err != nil {
+			malformed(from, err)
+			return
+		}
+		handle(&seg, packet)
+	})
+}
+
 // Receive reads datagrams until the socket is closed. An error of one datagram,
 // such as a port that is not open, ends nothing.
 func Receive(conn *net.UDPConn, in []byte, handle func(from netip.AddrPort, datagram []byte)) {
--- a/internal/process/streamagent/agent.go
+++ b/internal/process/streamagent/agent.go
@@ -206,16 +206,11 @@
 
 // serveTarget takes the packets of the target.
 func (a *Agent) serveTarget() {
-	in := make([]byte, segment.MaxPacket)
-	parcels.Receive(a.outbound, in, func(from netip.AddrPort, packet []byte) {
-		seg, err := a.deps.Codec.Decode(packet)
-		if err != nil {
-			a.malformed.Note("outbound", from, err)
-			return
-		}
+	unreadable := func(from netip.AddrPort, err error) { a.malformed.Note("outbound", from, err) }
+	parcels.Packets(a.outbound, a.deps.Codec, unreadable, func(seg *segment.Segment, packet []byte) {
 		a.mu.Lock()
 		defer a.mu.Unlock()
-		a.holder.FromTarget(a.deps.Clock.Now(), &seg, packet)
+		a.holder.FromTarget(a.deps.Clock.Now(), seg, packet)
 		a.flush()
 	})
 }
@@ -336,10 +331,9 @@
 }
 
 // Silence closes the sockets without a word, as a loss of power does.
-func (a *Agent) Silence() {
+func (a *Agent) Silence() error {
 	a.cancel()
-	_ = a.parcels.Close()
-	_ = a.outbound.Close()
+	return errs.Combine(a.parcels.Close(), errs.Wrap(a.outbound.Close()))
 }
 
 // Ready says why the agent is not ready, or nothing.
--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -183,16 +183,11 @@
 
 // serveEdge takes callers' packets.
 func (b *Balancer) serveEdge() {
-	in := make([]byte, segment.MaxPacket)
-	parcels.Receive(b.edge, in, func(from netip.AddrPort, packet []byte) {
-		seg, err := b.deps.Codec.Decode(packet)
-		if err != nil {
-			b.malformed.Note("edge", from, err)
-			return
-		}
+	unreadable := func(from netip.AddrPort, err error) { b.malformed.Note("edge", from, err) }
+	parcels.Packets(b.edge, b.deps.Codec, unreadable, func(seg *segment.Segment, packet []byte) {
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		b.steerer.Arrive(b.deps.Clock.Now(), &seg, packet)
+		b.steerer.Arrive(b.deps.Clock.Now(), seg, packet)
 		b.flush()
 	})
 }
--- a/internal/version/routing/routing.go
+++ b/internal/version/routing/routing.go
@@ -48,13 +48,6 @@
 	Shares  []Share        `json:"shares"`
 }
 
-// Service is what a balancer needs to know of a service besides its targets.
-type Service struct {
-	Name string `json:"name"`
-	// Health is the path that tells whether a target is well.
-	Health string `json:"health"`
-}
-
 // Table is one version.
 type Table struct {
 	Version uint64 `json:"version"`
@@ -62,11 +55,9 @@
 	// read from; a watch goes on from there.
 	Revision  uint64       `json:"revision"`
 	Listeners []Listener   `json:"listeners"`
-	Services  []Service    `json:"services"`
 	Idle      clock.Millis `json:"idle"`
 
-	index  map[netip.AddrPort]*Listener
-	health map[string]string
+	index map[netip.AddrPort]*Listener
 }
 
 // Check reports the first mistake of a table and makes its index.
@@ -82,10 +73,6 @@
 		}
 		t.index[l.Address] = l
 	}
-	t.health = make(map[string]string, len(t.Services))
-	for _, s := range t.Services {
-		t.health[s.Name] = s.Health
-	}
 	return nil
 }
 
@@ -112,11 +99,6 @@
 	return l, ok
 }
 
-// Health returns the path of a service's health check, or nothing.
-func (t *Table) Health(service string) string {
-	return t.health[service]
-}
-
 // Pick returns the service of a new flow.
 func (t *Table) Pick(f segment.Flow) (string, error) {
 	l, ok := t.index[f.Listener]
