A reset of a flow that the target may not hold goes to no caller

The flow's packets had just moved to another balancer, whose search asked all agents near by; the new agent was unsure and was handed the packet. Cause: a target that is just starting resets what it does not know, and the agent passed that on. Ruled out: the agent's own resets (it knew no flows), a stopped agent, a late leave. Mended: such a reset is dropped and counts as a denial. An agent that has not heard its target is handed packets only if its last look found a process that listens; the first look is at the start. Tests: TestResetOfStrangerStaysHere, TestNoTargetDeniesFlows (stricter).

--- a/internal/connection/stream/empty_test.go
+++ b/internal/connection/stream/empty_test.go
@@ -40,7 +40,7 @@
 // deny all flows once two looks were refused, whatever the VM returns meanwhile.
 func TestNoTargetDeniesFlows(t *testing.T) {
 	h := alone()
-	if got := says(h, testNow+10); got != wire.Holding_HOLDING_UNSURE {
+	if got := says(h, testNow+10); got != wire.Holding_HOLDING_UNKNOWN {
 		t.Errorf("an agent that has just started says %v", got)
 	}
 	for i := range clock.Millis(absences) {
@@ -79,3 +79,30 @@
 		t.Error("a target that starts late gets no flows")
 	}
 }
+
+// An agent has just started beside a target that lives, or beside one that is just
+// starting. Only where somebody listens may a search hand over a packet to find out
+// whether the target holds its flow. A target that is starting resets what it does
+// not know. The caller must not hear that: the flow is well at another target. The
+// balancer hears that this one does not hold it.
+func TestResetOfStrangerStaysHere(t *testing.T) {
+	h := alone()
+	h.Checked(testNow+1, Listening)
+	if got := says(h, testNow+10); got != wire.Holding_HOLDING_UNSURE {
+		t.Errorf("an agent beside a process that listens says %v", got)
+	}
+	packet := segment.Segment{Source: worldAddress(100, 0), Destination: worldListener, Flags: segment.Acks, Ack: 7, Size: 100}
+	h.Hear(testNow+11, worldAddress(1, 0), &wire.Parcel{Verb: wire.Verb_VERB_CARRY, Service: "one", Packet: encode(packet)}, &packet)
+	if got := len(h.Take().Deliveries); got != 1 {
+		t.Fatalf("the packet was handed over %d times", got)
+	}
+	reset := segment.Segment{Source: worldListener, Destination: worldAddress(100, 0), Flags: segment.Resets, Seq: 8}
+	h.FromTarget(testNow+12, &reset, encode(reset))
+	out := h.Take()
+	if len(out.Answers) > 0 || len(out.Resets) > 0 {
+		t.Error("the caller was reset by a target that does not hold its flow")
+	}
+	if len(out.Sends) != 1 || out.Sends[0].Parcel.Holding != wire.Holding_HOLDING_NOT {
+		t.Errorf("the balancer was told %v", out.Sends)
+	}
+}
--- a/internal/connection/stream/hold.go
+++ b/internal/connection/stream/hold.go
@@ -224,6 +224,10 @@
 	h.upstream.sign(now)
 	id := seg.FromUpstream()
 	f, ok := h.flows.Get(id)
+	if (!ok || f.guess) && seg.Flags.Has(segment.Resets) {
+		h.resetOfStranger(now, id, f)
+		return
+	}
 	if !ok {
 		f = &held{opened: now, open: true}
 		h.flows.Add(id, f)
@@ -253,6 +257,24 @@
 	h.out.Answers = append(h.out.Answers, packet)
 }
 
+// resetOfStranger drops a reset of a flow that the target is not known to hold.
+//
+// Failure: a search hands the packet of a flow to a target that is just starting,
+// which resets what it does not know. Symptom: a flow that is well at another
+// target is reset at its caller. A reset is no sign that the target holds a flow,
+// and its caller only waits longer if it does.
+func (h *Holder) resetOfStranger(now clock.Millis, id segment.Flow, f *held) {
+	h.out.note(Event{
+		Kind: Returned, Flow: id, Service: h.settings.Service, Reason: "a reset of a flow that the target may not hold",
+		Age: now.Sub(h.started),
+	})
+	if f != nil {
+		h.flows.Remove(id)
+		h.denied.Add(id, struct{}{})
+		h.answer(f.from, id, wire.Holding_HOLDING_NOT)
+	}
+}
+
 // returned passes a packet that the target did not take back to the balancer
 // that its mark names. It is no sign of life: where no target runs, the VM returns
 // what is sent to its address.
--- a/internal/connection/stream/look.go
+++ b/internal/connection/stream/look.go
@@ -17,6 +17,9 @@
 	emptyBeats = 2
 )
 
+// Look is what was found at the target's address.
+type Look int
+
 // Findings.
 const (
 	// Listening means that a process accepts connections.
@@ -44,13 +47,11 @@
 	return true
 }
 
-// Look is what was found at the target's address.
-type Look int
-
 // Checked takes what a look has found.
 func (h *Holder) Checked(now clock.Millis, found Look) {
 	u := &h.upstream
 	before := u.down()
+	u.listens = found == Listening
 	switch found {
 	case Listening:
 		u.refused, u.unanswered = 0, 0
--- a/internal/connection/stream/upstream.go
+++ b/internal/connection/stream/upstream.go
@@ -48,10 +48,12 @@
 	// packet; zero if none was.
 	pending clock.Millis
 	// checked is when it was last looked whether the target is there; refused and
-	// unanswered count in a row what was found.
+	// unanswered count what was found since its last sign of life.
 	checked    clock.Millis
 	refused    int
 	unanswered int
+	// listens tells that the last look found a process.
+	listens bool
 	// outlier judges how it ends requests.
 	outlier outlier
 }
@@ -66,9 +68,10 @@
 	return u.refused >= absences
 }
 
-// missing reports that there is no answer from the target's address either way.
+// missing reports that nothing was heard of the target yet, and that nobody listens
+// at its address.
 func (u *upstream) missing() bool {
-	return !u.known && u.seen == 0 && u.unanswered > 0
+	return !u.known && u.seen == 0 && !u.listens
 }
 
 // Beat takes a heartbeat of the target. It is to be acknowledged after this: the
--- a/internal/process/streamagent/agent.go
+++ b/internal/process/streamagent/agent.go
@@ -309,14 +309,15 @@
 }
 
 func (a *Agent) ticks(ctx context.Context) {
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
+		timer.Reset(tick)
 		a.mu.Lock()
 		now := a.deps.Clock.Now()
 		a.holder.Tick(now)
