--- a/internal/connection/stream/outlier_test.go
+++ b/internal/connection/stream/outlier_test.go
@@ -144,6 +144,22 @@
 	}
 }
 
+// Everybody comes at once, and a target that is full resets what is over its cap,
+// several in a row, while it works on the others. It is as well as any: to take new
+// flows from it would only fill the next one.
+func TestFullTargetIsNotEjected(t *testing.T) {
+	f := newFaulty(t)
+	for range 26 {
+		f.ask()
+	}
+	for range 10 {
+		f.request(false)
+	}
+	if got := f.condition(); got != wire.Condition_CONDITION_READY {
+		t.Errorf("a target with 26 requests under way that resets ten more is %v", got)
+	}
+}
+
 // A request fails now and then: callers break off, or a target restarts a worker.
 // That is no reason to take the target away from those that are well.
 func TestRareResetsEjectNobody(t *testing.T) {
--- a/internal/connection/stream/report.go
+++ b/internal/connection/stream/report.go
@@ -18,20 +18,30 @@
 }
 
 // judge takes note of how the target has ended a request that came at a time.
+//
+// Failure: everybody comes at once, and a target that is full resets what is over its
+// cap. Symptom: taken for failing, it gets no new flows, which fills the next one. So
+// a reset counts only if the target has a slot free for the request.
 func (h *Holder) judge(now clock.Millis, id segment.Flow, f *held, answered bool) {
-	o := &h.upstream.outlier
+	u := &h.upstream
 	if answered {
 		h.out.Served = append(h.out.Served, now.Sub(f.busy))
-		if o.answered(now) {
+		if u.outlier.answered(now) {
 			h.noteCondition(now, "answers again")
 		}
 		return
 	}
+	working := len(h.working)
+	full := working > max(u.slots, 1)
+	reason := "the target reset it under way"
+	if full {
+		reason = "the target is full and reset it"
+	}
 	h.out.note(Event{
-		Kind: Failed, Flow: id, Target: f.from, Service: h.settings.Service, Reason: "the target reset it under way",
-		Age: now.Sub(f.busy),
+		Kind: Failed, Flow: id, Target: f.from, Service: h.settings.Service, Reason: reason, Age: now.Sub(f.busy),
+		Count: working,
 	})
-	if o.reset(now) {
+	if !full && u.outlier.reset(now) {
 		h.noteCondition(now, "resets requests")
 	}
 }
