--- a/internal/connection/stream/load.go
+++ b/internal/connection/stream/load.go
@@ -45,6 +45,12 @@
 	}
 }
 
+// Loaded reports that the target's slots are in use: what balancers know of its load
+// matters for each new flow.
+func (h *Holder) Loaded() bool {
+	return h.load > overload*float64(max(h.upstream.slots, 1))
+}
+
 // sample adds the requests under way to their mean, weighted by the time since
 // the last sample.
 func (h *Holder) sample(now clock.Millis) {
--- a/internal/process/streamagent/agent.go
+++ b/internal/process/streamagent/agent.go
@@ -44,12 +44,12 @@
 	// target has to return a packet is of this order.
 	tick = 50 * time.Millisecond
 	// tellEvery is how often balancers that do not probe this target are told
-	// that it is there, and tellFirst how often those that were never heard in the
-	// first seconds, when they may be starting as well: one that starts while
-	// callers wait must not wait for news as well.
-	tellEvery = clock.Second
-	tellFirst = 50 * clock.Millis(1)
-	firstFor  = 4 * clock.Second
+	// that it is there, tellLoaded how often while its slots are in use, and
+	// tellFirst how often those that were never heard in the first seconds.
+	tellEvery  = clock.Second
+	tellLoaded = 150 * clock.Millis(1)
+	tellFirst  = 50 * clock.Millis(1)
+	firstFor   = 4 * clock.Second
 	// knownFor is how long a balancer that was heard is told of changes.
 	knownFor = 60 * clock.Second
 	// findEvery is how often the directory is asked for balancers while none
@@ -99,6 +99,11 @@
 // thousand, and flows that have ended are kept for some seconds.
 const mostFlows = 32768
 
+// mostBalancers bounds the balancers that an agent reports to: twice as many as are
+// planned for in two years. Anybody may send a parcel; what is over the bound is
+// answered, but not remembered.
+const mostBalancers = 1024
+
 // missedBeats is how many heartbeats a target may miss until it gets no new flows.
 const missedBeats = 3
 
@@ -175,8 +180,11 @@
 	defer a.mu.Unlock()
 	now := a.deps.Clock.Now()
 	for _, s := range seeds {
-		if a.balancers[s] == nil {
-			a.balancers[s] = &balancer{heard: now}
+		if a.balancers[s] != nil {
+			continue
+		}
+		if b := a.balancer(s); b != nil {
+			b.heard = now
 		}
 	}
 }
@@ -186,19 +194,26 @@
 	a.malformed.Note("parcels", from, err)
 }
 
+// balancer returns what is remembered of one, or nil if there is no room for another.
+func (a *Agent) balancer(at netip.AddrPort) *balancer {
+	b := a.balancers[at]
+	if b == nil && len(a.balancers) < mostBalancers {
+		b = &balancer{}
+		a.balancers[at] = b
+	}
+	return b
+}
+
 // hear takes a parcel of a balancer.
 func (a *Agent) hear(from netip.AddrPort, p *wire.Parcel, seg *segment.Segment) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.deps.Clock.Now()
-	b := a.balancers[from]
-	if b == nil {
-		b = &balancer{}
-		a.balancers[from] = b
-	}
-	b.met, b.heard = true, now
-	if p.Verb == wire.Verb_VERB_PROBE {
-		b.told, a.probed = now, now
+	if b := a.balancer(from); b != nil {
+		b.met, b.heard = true, now
+		if p.Verb == wire.Verb_VERB_PROBE {
+			b.told, a.probed = now, now
+		}
 	}
 	a.holder.Hear(now, from, p, seg)
 	a.flush()
@@ -286,20 +301,35 @@
 	a.flush()
 }
 
+// tellPause is the pause between two reports to a balancer that does not ask for
+// them. One that was never heard may be starting while callers wait.
+//
+// Failure: everybody comes at once, and balancers elsewhere go by loads that are a
+// second old. Symptom: they all choose the target that had room then, it turns
+// requests away, and others that have room now get none. So a target whose slots are
+// in use tells its load about as often as balancers near by ask for it.
+func tellPause(unheard, loaded bool) clock.Millis {
+	switch {
+	case unheard:
+		return tellFirst
+	case loaded:
+		return tellLoaded
+	default:
+		return tellEvery
+	}
+}
+
 // tell reports to all balancers, or to those that have not probed for a while.
 func (a *Agent) tell(now clock.Millis, all bool) {
 	first := now.Sub(a.started) < firstFor
+	loaded := a.holder.Loaded()
 	var to []netip.AddrPort
 	for address, b := range a.balancers {
-		pause := tellEvery
-		if first && !b.met {
-			pause = tellFirst
-		}
 		if now.Sub(b.heard) > knownFor && len(a.balancers) > 1 {
 			delete(a.balancers, address)
 			continue
 		}
-		if all || now.Sub(b.told) >= pause {
+		if all || now.Sub(b.told) >= tellPause(first && !b.met, loaded) {
 			b.told = now
 			to = append(to, address)
 		}
