What a balancer remembers of searches, targets and balancers is bounded

Packets that searches keep could take 80 MB. Targets, balancers and notes of what left grew with every sender of a parcel. Mended: denials are kept for the five seconds that they hold, searches and denials for 150,000 answers, packets for 8 MB; 8,192 targets and 1,024 balancers are known. Tests: TestVainSearchesAreBounded (bites for each of its four bounds), TestTargetsAreBounded, TestPeersAreBounded.

--- a/internal/connection/stream/agent_test.go
+++ b/internal/connection/stream/agent_test.go
@@ -82,11 +82,7 @@
 				if !b.up {
 					return
 				}
-				var seg *segment.Segment
-				if len(p.Packet) > 0 {
-					seg = decode(p.Packet)
-				}
-				b.steerer.Hear(w.now, a.address, p, seg)
+				b.steerer.Hear(w.now, a.address, p, carried(p))
 				w.flushBalancer(b)
 			})
 		}
--- a/internal/connection/stream/choose_test.go
+++ b/internal/connection/stream/choose_test.go
@@ -165,3 +165,19 @@
 		t.Error("an agent that does not come back is waited for")
 	}
 }
+
+// Strangers report targets from ever new addresses, and balancers name others. As
+// many are known as there may be, and no more.
+func TestTargetsAreBounded(t *testing.T) {
+	ts := NewTargets("a")
+	for i := range 3 * mostTargets {
+		ts.Report(testNow, worldAddress(i>>16, 2*i), &wire.Report{Service: "one", Epoch: 1, Sequence: 1})
+		ts.Learn(testNow, worldAddress(i>>16, 2*i+1), "t", "a", "one")
+	}
+	for i := range 3 * mostTargets {
+		ts.Report(testNow, worldAddress(9, i), &wire.Report{Epoch: 1, Sequence: 1, Condition: wire.Condition_CONDITION_GONE})
+	}
+	if ts.Len() > mostTargets || len(ts.left) > mostTargets {
+		t.Errorf("%d targets and %d that left are known, want up to %d", ts.Len(), len(ts.left), mostTargets)
+	}
+}
--- a/internal/connection/stream/hand.go
+++ b/internal/connection/stream/hand.go
@@ -66,7 +66,7 @@
 // add keeps a packet that arrives during a search, and hands it to the targets
 // that may be the owner: an earlier one may have needed no answer.
 func (s *Steerer) add(x *search, packet []byte) {
-	x.keep(packet)
+	s.keep(x, packet)
 	s.handOn(x)
 }
 
--- a/internal/connection/stream/search.go
+++ b/internal/connection/stream/search.go
@@ -36,8 +36,15 @@
 	// in flight.
 	mostKept = 16
 	// mostSearches bounds the searches under way: packets of flows that nobody
-	// owns must not cost more than the flows that are there.
-	mostSearches = 4096
+	// owns must not cost more than the flows that are there. mostAsked bounds what
+	// they remember of targets, by estimate 120 bytes each: 18 MB of the 120 that a
+	// small VM has. leastSearches is how many there may be among any number of
+	// targets.
+	mostSearches  = 4096
+	mostAsked     = 150_000
+	leastSearches = 64
+	// mostKeptBytes bounds the packets that all searches keep together.
+	mostKeptBytes = 8 << 20
 )
 
 // stage is how wide a search has become.
@@ -96,14 +103,63 @@
 	again   clock.Millis
 	pause   clock.Millis
 	packets [][]byte
+	// kept is the size of the packets.
+	kept int
 }
 
 // keep keeps a packet, unless it is there already: callers send again what is not
 // answered.
-func (x *search) keep(packet []byte) {
+func (s *Steerer) keep(x *search, packet []byte) {
 	known := slices.ContainsFunc(x.packets, func(p []byte) bool { return bytes.Equal(p, packet) })
-	if len(x.packets) < mostKept && !known {
-		x.packets = append(x.packets, slices.Clone(packet))
+	if known || len(x.packets) >= mostKept || s.kept+len(packet) > mostKeptBytes {
+		return
+	}
+	x.packets = append(x.packets, slices.Clone(packet))
+	x.kept += len(packet)
+	s.kept += len(packet)
+}
+
+// drop takes the searches that have ended off the list, with what they kept.
+func (s *Steerer) drop() {
+	s.searches = slices.DeleteFunc(s.searches, func(x *search) bool {
+		if x.over {
+			s.kept -= x.kept
+		}
+		return x.over
+	})
+}
+
+// room is how many searches there may be, and how many flows whose denials are kept.
+func (s *Steerer) room() int {
+	return min(max(mostAsked/max(s.Targets.Len(), 1), leastSearches), mostSearches)
+}
+
+// denials are what was said of a flow in a search that has ended without an owner.
+type denials struct {
+	flow *flow
+	at   clock.Millis
+}
+
+// remember keeps what agents have said of a flow for its next search.
+//
+// Failure: packets of flows that nobody owns come in without an end. Symptom: what
+// every agent has said of each is kept until the flow itself is forgotten, and the
+// process runs out of memory. So it is kept for as long as it holds, and for a
+// bounded number of flows.
+func (s *Steerer) remember(now clock.Millis, f *flow) {
+	f.gaveUp = now
+	s.denials = append(s.denials, denials{flow: f, at: now})
+	for len(s.denials) > s.room() {
+		s.lapse()
+	}
+}
+
+// lapse forgets the oldest denials, unless a later search of the flow has them.
+func (s *Steerer) lapse() {
+	d := s.denials[0]
+	s.denials = s.denials[1:]
+	if d.flow.search == nil && d.flow.gaveUp == d.at {
+		d.flow.asked = nil
 	}
 }
 
@@ -115,7 +171,7 @@
 
 // begin starts a search for the owner of a flow.
 func (s *Steerer) begin(now clock.Millis, id segment.Flow, f *flow, packet []byte) {
-	if len(s.searches) >= mostSearches {
+	if len(s.searches) >= s.room() {
 		s.out.note(Event{Kind: GaveUp, Flow: id, Reason: "too many searches", Count: len(s.searches)})
 		return
 	}
@@ -126,7 +182,7 @@
 	if f.asked == nil {
 		f.asked = map[netip.AddrPort]*asked{}
 	}
-	x.keep(packet)
+	s.keep(x, packet)
 	s.searches = append(s.searches, x)
 	s.out.note(Event{Kind: Searched, Flow: id, Service: f.service, Version: s.version()})
 	s.ask(now, x)
@@ -351,4 +407,5 @@
 	}
 	s.out.note(e)
 	x.end()
+	s.remember(now, x.flow)
 }
--- a/internal/connection/stream/search_test.go
+++ b/internal/connection/stream/search_test.go
@@ -262,6 +262,41 @@
 	}
 }
 
+// Somebody sends packets of ever new flows, which no target holds: thousands at one
+// moment, and then faster than searches end. The balancer's memory stays bounded: it keeps a bounded number of
+// searches and bytes, and forgets what agents said of a flow once it no longer holds.
+func TestVainSearchesAreBounded(t *testing.T) {
+	s, _ := searching(t, 4, 0)
+	s.flows.Resize(6 * mostSearches)
+	now := testNow
+	for i := range 5 * mostSearches {
+		packet := encode(segment.Segment{
+			Source: worldAddress(100+i>>16, i), Destination: worldListener, Flags: segment.Acks, Seq: 1, Ack: 9, Size: 100,
+		})
+		packet = append(packet, make([]byte, 6000)...)
+		s.Arrive(now, decode(packet), packet)
+		if i > 2*mostSearches && i%2 == 0 {
+			now++
+			s.Tick(now)
+		}
+		s.Take()
+		if len(s.searches) > s.room() || len(s.denials) > s.room() || s.kept > mostKeptBytes {
+			t.Fatalf("%d searches, %d denials, %d bytes are kept", len(s.searches), len(s.denials), s.kept)
+		}
+	}
+	for end := now + searchFor + denialFor + clock.Second; now < end; now += 50 {
+		s.Tick(now)
+	}
+	if len(s.searches) > 0 || len(s.denials) > 0 || s.kept != 0 {
+		t.Errorf("afterwards %d searches, %d denials and %d bytes are left", len(s.searches), len(s.denials), s.kept)
+	}
+	for _, id := range s.flows.Keys() {
+		if f, ok := s.flows.Peek(id); ok && f.asked != nil {
+			t.Fatalf("what agents said of %s is kept for ever", id)
+		}
+	}
+}
+
 // A target far away is unsure as well, and hundreds of flows are searched. What may
 // be handed over goes to the own failure domain first, which most flows never
 // leave; a single search far away still gets its packet through.
--- a/internal/connection/stream/steer.go
+++ b/internal/connection/stream/steer.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
@@ -36,8 +35,10 @@
 	pending int
 	last    clock.Millis
 	search  *search
-	// asked is what agents said of the flow in its last search.
-	asked map[netip.AddrPort]*asked
+	// asked is what agents said of the flow in its last search, and gaveUp when that
+	// one ended without an owner.
+	asked  map[netip.AddrPort]*asked
+	gaveUp clock.Millis
 	// ack is the caller's last acknowledgement.
 	ack uint32
 }
@@ -51,6 +52,10 @@
 	// searches are those under way, in the order of their beginnings; ended ones
 	// are taken out at the next tick.
 	searches []*search
+	// kept is the size of the packets in them, and denials what is remembered of
+	// those that ended in vain, the oldest first.
+	kept    int
+	denials []denials
 	// hands is how many packets may be handed to unsure targets, at the time handed.
 	hands  float64
 	handed clock.Millis
@@ -294,7 +299,10 @@
 		}
 		s.advance(now, x)
 	}
-	s.searches = slices.DeleteFunc(s.searches, func(x *search) bool { return x.over })
+	s.drop()
+	for len(s.denials) > 0 && now.Sub(s.denials[0].at) > denialFor {
+		s.lapse()
+	}
 	s.questions.flush(now, len(s.searches), &s.out)
 	for _, t := range s.Targets.Forget(now) {
 		s.out.note(Event{Kind: TargetGone, Target: t.Address, Name: t.Name, Service: t.Service, Reason: "silent", Age: now.Sub(t.Heard)})
--- a/internal/connection/stream/target.go
+++ b/internal/connection/stream/target.go
@@ -42,6 +42,9 @@
 	// forgetAfter is the silence after which a target is no longer known: a
 	// flow lives no longer than a minute.
 	forgetAfter = 70 * clock.Second
+	// mostTargets bounds the targets that are known: twice as many as are planned
+	// for in two years. Anybody may report one.
+	mostTargets = 8192
 	// tombFor is how long a target that left is not taken back on hearsay.
 	tombFor = 60 * clock.Second
 )
@@ -214,7 +217,7 @@
 // Learn adds a target on hearsay. It is probed before it is used. A target that
 // left a short while ago is not taken back: the teller may not know yet.
 func (ts *Targets) Learn(now clock.Millis, a netip.AddrPort, name, domain, service string) bool {
-	if _, ok := ts.known[a]; ok {
+	if _, ok := ts.known[a]; ok || len(ts.known) >= mostTargets {
 		return false
 	}
 	if at, ok := ts.left[a]; ok && now.Sub(at) < tombFor {
@@ -240,6 +243,9 @@
 	if ok && t.Heard != 0 && overtaken(t, r) {
 		return Change{}
 	}
+	if !ok && len(ts.known) >= mostTargets {
+		return Change{}
+	}
 	if !ok {
 		t = &Target{Address: from}
 		delete(ts.left, from)
@@ -256,7 +262,9 @@
 	t.take(now, r)
 	if r.Condition == wire.Condition_CONDITION_GONE {
 		c.Left = ok
-		ts.left[from] = now
+		if len(ts.left) < mostTargets {
+			ts.left[from] = now
+		}
 		return c
 	}
 	if moved || !ok {
--- a/internal/connection/stream/world_test.go
+++ b/internal/connection/stream/world_test.go
@@ -307,16 +307,20 @@
 			if !a.up {
 				return
 			}
-			var seg *segment.Segment
-			if len(p.Packet) > 0 {
-				seg = decode(p.Packet)
-			}
-			a.holder.Hear(w.now, b.address, p, seg)
+			a.holder.Hear(w.now, b.address, p, carried(p))
 			w.flushAgent(a)
 		})
 	}
 }
 
+// carried is the segment of a parcel's packet, or nil if it has none.
+func carried(p *wire.Parcel) *segment.Segment {
+	if len(p.Packet) == 0 {
+		return nil
+	}
+	return decode(p.Packet)
+}
+
 func copyParcel(p *wire.Parcel) *wire.Parcel {
 	data, err := p.MarshalVT()
 	if err != nil {
--- a/internal/process/streambalancer/peers.go
+++ b/internal/process/streambalancer/peers.go
@@ -27,6 +27,9 @@
 	// peerLive is the silence after which a neighbour no longer counts as there:
 	// two lost datagrams.
 	peerLive = 2500 * clock.Millis(1)
+	// mostPeers bounds the balancers that are known: twice as many as are planned
+	// for in two years. Anybody may send news.
+	mostPeers = 1024
 	// peerKnown is the silence after which a balancer is forgotten: three times
 	// strangerNews.
 	peerKnown = 60 * clock.Second
@@ -127,7 +130,7 @@
 
 // Learn adds a balancer on hearsay.
 func (ps *Peers) Learn(now clock.Millis, a netip.AddrPort, name, domain string) bool {
-	if a == ps.self.Address || ps.known[a] != nil {
+	if a == ps.self.Address || ps.known[a] != nil || len(ps.known) >= mostPeers {
 		return false
 	}
 	ps.known[a] = &Peer{Address: a, Name: name, Domain: domain, learned: now}
@@ -141,6 +144,9 @@
 		return false
 	}
 	p := ps.known[n.Address]
+	if p == nil && len(ps.known) >= mostPeers {
+		return false
+	}
 	if p == nil {
 		p = &Peer{Address: n.Address, learned: now}
 		ps.known[n.Address] = p
--- a/internal/process/streambalancer/peers_test.go
+++ b/internal/process/streambalancer/peers_test.go
@@ -163,3 +163,19 @@
 		t.Errorf("asked %v although both calls have failed", p.Address)
 	}
 }
+
+// Strangers send news from ever new addresses, and name others. The balancer knows as
+// many balancers as there may be, and no more.
+func TestPeersAreBounded(t *testing.T) {
+	ps := NewPeers(0, Peer{Name: "self"}, nil)
+	at := func(i int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 7000)
+	}
+	for i := range 3 * mostPeers {
+		ps.Hear(1, Peer{Address: at(2 * i), Name: "stranger"})
+		ps.Learn(1, at(2*i+1), "hearsay", "a")
+	}
+	if got := len(ps.known); got != mostPeers {
+		t.Errorf("%d balancers are known, want %d", got, mostPeers)
+	}
+}
