Balancers that start together do not agree alone on who there is

Leaving balancers told nobody which targets they know, and counted as no neighbours. An agent that has run for long reports once a second to balancers that do not probe it, and both starters counted as settled 700 ms after their start: with 9 of 10 targets known to both, each took the denials of nine for the word of all, and reset flows that the tenth served.

Ruled out: an old incarnation's word, denials of an agent that has just started (the agents lived on), a freeze.

Now a balancer that leaves answers questions for its targets. An agreement counts 700 ms after the start only if a settled balancer has told its targets; else after two reports of every agent.

--- a/internal/connection/stream/report.go
+++ b/internal/connection/stream/report.go
@@ -8,6 +8,10 @@
 	"github.com/wagtailtray/wagtailtray/pkg/wire"
 )
 
+// ReportEvery is the longest pause between two reports of an agent to a balancer
+// that it knows.
+const ReportEvery = clock.Second
+
 // Turned reports whether the target is in another condition than at the last
 // call. Balancers are to be told at once, for they send it new flows or none.
 func (h *Holder) Turned(now clock.Millis) bool {
--- a/internal/process/streamagent/agent.go
+++ b/internal/process/streamagent/agent.go
@@ -43,10 +43,9 @@
 	// tick is the pause between two looks at what is due: the time that a
 	// target has to return a packet is of this order.
 	tick = 50 * time.Millisecond
-	// tellEvery is how often balancers that do not probe this target are told
-	// that it is there, tellLoaded how often while its slots are in use, and
-	// tellFirst how often those that were never heard in the first seconds.
-	tellEvery  = clock.Second
+	// tellLoaded is how often balancers that do not probe this target are told of it
+	// while its slots are in use, and tellFirst how often those that were never heard
+	// in the first seconds; else it is stream.ReportEvery.
 	tellLoaded = 150 * clock.Millis(1)
 	tellFirst  = 50 * clock.Millis(1)
 	firstFor   = 4 * clock.Second
@@ -315,7 +314,7 @@
 	case loaded:
 		return tellLoaded
 	default:
-		return tellEvery
+		return stream.ReportEvery
 	}
 }
 
--- a/internal/process/streambalancer/news.go
+++ b/internal/process/streambalancer/news.go
@@ -29,7 +29,8 @@
 	self := &b.peers.self
 	return &wire.News{
 		Self:  contact(self.Address, self.Name, self.Domain, ""),
-		Epoch: self.Epoch, Digest: b.digest(), Watching: b.watching, Leaving: b.leaving, Version: b.version(),
+		Epoch: self.Epoch, Digest: b.digest(), Watching: b.watching, Leaving: b.leaving, Settled: b.settled,
+		Version: b.version(),
 	}
 }
 
@@ -165,7 +166,7 @@
 	}
 	fresh := b.peers.Hear(now, Peer{
 		Address: from, Name: n.Self.Name, Domain: n.Self.Domain, Epoch: n.Epoch, Version: n.Version,
-		Watching: n.Watching, Leaving: n.Leaving, Digest: n.Digest, Chose: n.Chose,
+		Watching: n.Watching, Leaving: n.Leaving, Settled: n.Settled, Digest: n.Digest, Chose: n.Chose,
 	})
 	learned := b.learn(now, from, n.Contacts)
 	if n.Complete && !learned {
@@ -175,10 +176,10 @@
 		b.deps.Log.Info().Str("event", "peer").Stringer("peer", from).Str("name", n.Self.Name).
 			Str("domain", n.Self.Domain).Uint64("version", n.Version).Send()
 	}
-	if n.Ask && !b.leaving {
+	if n.Ask {
 		b.tellContacts(from, n.Known)
 	}
-	if n.Digest != b.digest() && !n.Leaving && b.peers.Ask(now, from, n.Digest) {
+	if n.Digest != b.digest() && b.peers.Ask(now, from, n.Digest) {
 		q := b.news()
 		b.question(q)
 		b.send(from, &wire.Parcel{Verb: wire.Verb_VERB_NEWS, News: q})
--- a/internal/process/streambalancer/peers.go
+++ b/internal/process/streambalancer/peers.go
@@ -6,6 +6,7 @@
 
 	"github.com/zeebo/xxh3"
 
+	"github.com/wagtailtray/wagtailtray/internal/connection/stream"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
 )
 
@@ -46,10 +47,12 @@
 	// know. News of a new target come from each balancer that hears it, within
 	// some 20 ms.
 	settleTime = 400 * clock.Millis(1)
-	// startTime is how long a balancer that has started may not have heard of
-	// everybody: all VMs start within 300 ms, and agents report several times in
-	// the rest of it.
-	startTime = 700 * clock.Millis(1)
+	// vouchedStart is how long a balancer may not have heard of everybody after its
+	// start if a settled one has told it all targets: what is new comes by itself.
+	// aloneStart is how long if none has: two reports of each agent, and the delay
+	// between failure domains.
+	vouchedStart = 700 * clock.Millis(1)
+	aloneStart   = 2*stream.ReportEvery + 200*clock.Millis(1)
 	// newsSoon is the least pause between news that tell of a change.
 	newsSoon = 100 * clock.Millis(1)
 	// avoidFor is how long a balancer is not asked for a version after a call to it
@@ -72,6 +75,8 @@
 	// Watching tells that it reads the platform's changes.
 	Watching bool
 	Leaving  bool
+	// Settled tells that it knows all targets that the others do.
+	Settled bool
 	// Chose tells that it counts this balancer among its neighbours.
 	Chose bool
 	// Heard is when its last news came; zero if none did.
@@ -112,6 +117,8 @@
 	known   map[netip.AddrPort]*Peer
 	// agreed is since when this one knows all that its neighbours do.
 	agreed clock.Millis
+	// vouched tells that a settled balancer has told this one all targets.
+	vouched bool
 }
 
 // NewPeers returns the peers of a balancer that has just started.
@@ -159,7 +166,8 @@
 		p.unwatched = now
 	}
 	p.Name, p.Domain, p.Epoch, p.Version = n.Name, n.Domain, n.Epoch, n.Version
-	p.Watching, p.Leaving, p.Digest, p.Chose = n.Watching, n.Leaving, n.Digest, n.Chose
+	p.Watching, p.Leaving, p.Settled = n.Watching, n.Leaving, n.Settled
+	p.Digest, p.Chose = n.Digest, n.Chose
 	p.Heard = now
 	return fresh
 }
@@ -296,7 +304,13 @@
 // Settled reports that this balancer has known all targets that its neighbours
 // know for long enough to have been told of any new one. digest is a hash over
 // those that this one hears.
+//
+// Balancers that started together agree at once, although none has heard all agents
+// yet: one that has run for long reports once a second to those that do not probe
+// it. So the agreement counts only after a settled balancer has told its targets, or
+// after every agent has reported.
 func (ps *Peers) Settled(now clock.Millis, digest uint64) bool {
+	ps.vouched = ps.vouched || ps.vouch(now, digest)
 	for _, p := range ps.Neighbours(now) {
 		if p.Digest != digest && p.Digest != p.covered {
 			ps.agreed = 0
@@ -306,7 +320,23 @@
 	if ps.agreed == 0 {
 		ps.agreed = now
 	}
-	return now.Sub(ps.agreed) > settleTime && now.Sub(ps.started) > startTime
+	start := aloneStart
+	if ps.vouched {
+		start = vouchedStart
+	}
+	return now.Sub(ps.agreed) > settleTime && now.Sub(ps.started) > start
+}
+
+// vouch reports that a settled balancer, be it one that leaves, knows no target
+// that this one does not.
+func (ps *Peers) vouch(now clock.Millis, digest uint64) bool {
+	for _, p := range ps.known {
+		known := p.Digest == digest || p.Digest == p.covered
+		if p.Settled && known && now.Sub(p.Heard) <= peerLive {
+			return true
+		}
+	}
+	return false
 }
 
 // Newest returns a live peer whose version is the highest, if it is above the
--- a/internal/process/streambalancer/peers_test.go
+++ b/internal/process/streambalancer/peers_test.go
@@ -179,3 +179,46 @@
 		t.Errorf("%d balancers are known, want %d", got, mostPeers)
 	}
 }
+
+// Two balancers start together while the others leave, and the same old agent has not
+// reported to either yet: both must not agree that its flows are nobody's.
+func TestStartersDoNotAgreeAlone(t *testing.T) {
+	ps := NewPeers(testNow, testPeer(1), nil)
+	starter := testPeer(0)
+	starter.Digest = 9
+	for at := testNow + 10; at < testNow+2*clock.Second; at += 50 {
+		ps.Hear(at, starter)
+		if ps.Settled(at, 9) {
+			t.Fatalf("settled %d ms after the start, on the word of a starter", at.Sub(testNow))
+		}
+	}
+	late := testNow + aloneStart + 1
+	ps.Hear(late, starter)
+	if !ps.Settled(late, 9) {
+		t.Error("not settled after every agent has reported twice")
+	}
+}
+
+// All balancers are replaced in turn: those that leave know all targets, and a starter
+// that knows what they know need not wait for reports of every agent.
+func TestLeavingBalancerVouches(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		digest uint64
+		want   bool
+	}{
+		{"knows the same", 9, true},
+		{"knows more", 7, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ps := NewPeers(testNow, testPeer(1), nil)
+			leaving := testPeer(0)
+			leaving.Digest, leaving.Leaving, leaving.Settled = c.digest, true, true
+			ps.Hear(testNow+10, leaving)
+			ps.Settled(testNow+20, 9)
+			if got := ps.Settled(testNow+vouchedStart+30, 9); got != c.want {
+				t.Errorf("settled: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
