One balancer at a time takes over the watch of the platform

Cause: a balancer that stops tells its neighbours.

Now a balancer waits 1.2 s for each live one that ranks before it, counted from when the reader was last there. The first of the rest takes over at once, as before.

Ruled out: jitter, which only thins the crowd out.

--- a/internal/process/streambalancer/peers.go
+++ b/internal/process/streambalancer/peers.go
@@ -117,6 +117,9 @@
 	known   map[netip.AddrPort]*Peer
 	// agreed is since when this one knows all that its neighbours do.
 	agreed clock.Millis
+	// led is when a balancer that ranks before this one was last known to read the
+	// platform's changes.
+	led clock.Millis
 	// vouched tells that a settled balancer has told this one all targets.
 	vouched bool
 }
@@ -189,6 +192,17 @@
 	return all
 }
 
+// Domains returns how many failure domains have balancers.
+func (ps *Peers) Domains(now clock.Millis) int {
+	domains := map[string]bool{ps.self.Domain: true}
+	for _, p := range ps.known {
+		if p.Live(now) {
+			domains[p.Domain] = true
+		}
+	}
+	return len(domains)
+}
+
 // Neighbours returns the balancers that are told regularly: the first by
 // rendezvous with this one that answer. A balancer among hundreds thus has a few
 // neighbours, and all together form one mesh.
@@ -289,16 +303,25 @@
 // Symptom: the failure domain keeps an old version. It says that it does not
 // watch, and the next one does after a short while; where both do for a moment,
 // one call more is made and nothing else happens.
+//
+// Failure: the reader stops, and has been the only one for long. Symptom: all others
+// take its place at once, and each makes calls until it hears of the rest. So each
+// waits its turn.
 func (ps *Peers) Watches(now clock.Millis) bool {
+	before := clock.Millis(0)
 	for _, p := range ps.known {
 		if p.Domain != ps.self.Domain || !p.Live(now) || p.Name > ps.self.Name {
 			continue
 		}
+		if p.Watching {
+			ps.led = now
+		}
 		if p.Watching || now.Sub(p.unwatched) < watchGrace {
 			return false
 		}
+		before++
 	}
-	return true
+	return now.Sub(ps.led) >= before*watchGrace
 }
 
 // Settled reports that this balancer has known all targets that its neighbours
--- a/internal/process/streambalancer/peers_test.go
+++ b/internal/process/streambalancer/peers_test.go
@@ -50,6 +50,50 @@
 	}
 }
 
+// The first of seven balancers of a failure domain stops after it has been the only
+// reader for long: one of the others takes its place, not all six at once.
+func TestOneTakesTheWatch(t *testing.T) {
+	const count = 7
+	member := func(i int) Peer {
+		p := testPeer(i)
+		p.Domain = "d"
+		return p
+	}
+	var all []*Peers
+	for i := 1; i < count; i++ {
+		ps := NewPeers(testNow, member(i), nil)
+		for at := testNow; at <= testNow+10*clock.Second; at += 500 {
+			for j := range count {
+				p := member(j)
+				p.Watching = j == 0
+				ps.Hear(at, p)
+			}
+			ps.Watches(at)
+		}
+		all = append(all, ps)
+	}
+	stopped := testNow + 10*clock.Second + 10
+	readers := 0
+	for _, ps := range all {
+		leaving := member(0)
+		leaving.Leaving = true
+		ps.Hear(stopped, leaving)
+		if ps.Watches(stopped + 10) {
+			readers++
+		}
+	}
+	if readers != 1 || !all[0].Watches(stopped+20) {
+		t.Errorf("%d balancers read after the first one stopped", readers)
+	}
+	late := stopped + watchGrace + 20
+	for j := 1; j < count; j++ {
+		all[1].Hear(late, member(j))
+	}
+	if !all[1].Watches(late) {
+		t.Error("the second one does not read although the first one cannot")
+	}
+}
+
 // The first balancer of a failure domain dies; the next one reads.
 func TestWatchAfterDeath(t *testing.T) {
 	watching := testPeer(0)
