Open flows are kept in the platform's store; openings wait while a balancer starts

Cause of the loss: when all VMs lose power, only the callers know of their flows.

Change: agents send their target's open flows, with the target's start, to the balancer that reads the platform for their failure domain; it writes one object for all (package checkpoint decides, process/checkpoints stores). An agent that starts reads its entry from a copy. If its target says another start, the callers of the flows are reset at once; if the same, the flows are claimed. A flow is kept only after a heartbeat with the same start came after its opening, so it is that process's or nobody's.

Openings that reach a balancer in its first two seconds before it has a route or a target wait up to 400 ms instead of being dropped; agents look in the directory at once instead of after 60 ms, and tell balancers of their target before they reset flows.

--- a/internal/connection/checkpoint/verdict.go
+++ b/internal/connection/checkpoint/verdict.go
@@ -49,9 +49,8 @@
 // entry's target is gone if it comes from a later one that has just started, or if
 // another one follows it.
 func (e *Entry) Judge(wall int64, life clock.Millis, t Target) Verdict {
-	age := clock.Millis(wall - e.At)
 	switch {
-	case age > life+clockSlack || age < -clockSlack:
+	case e.old(wall, life):
 		return Ignore
 	case t.Born == 0 && t.Absent:
 		return Gone
@@ -67,3 +66,9 @@
 		return Wait
 	}
 }
+
+// old reports that an entry may name flows that are older than a flow may be.
+func (e *Entry) old(wall int64, life clock.Millis) bool {
+	age := clock.Millis(wall - e.At)
+	return age > life+clockSlack || age < -clockSlack
+}
--- a/internal/connection/stream/choose.go
+++ b/internal/connection/stream/choose.go
@@ -87,6 +87,16 @@
 	return fail > ready
 }
 
+// ready reports whether a service has a target for a new flow.
+func (ts *Targets) ready(now clock.Millis, service string) bool {
+	for _, t := range ts.want(now, service) {
+		if t.Opens(now) || t.failing(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Choose returns the target for a new flow of a service that was not tried yet:
 // the least loaded one of the balancer's own failure domain, unless that is
 // overloaded and one elsewhere is not. Targets that are suspected or not known to
--- a/internal/connection/stream/doc.go
+++ b/internal/connection/stream/doc.go
@@ -47,7 +47,7 @@
 //
 // # Usage
 //
-//	s := stream.NewSteerer(stream.Settings{...})
+//	s := stream.NewSteerer(now, stream.Settings{...})
 //	s.Arrive(now, &seg, packet, table)
 //	s.Hear(now, from, parcel)
 //	s.Tick(now)
--- a/internal/connection/stream/hold.go
+++ b/internal/connection/stream/hold.go
@@ -6,6 +6,7 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"github.com/wagtailtray/wagtailtray/internal/connection/checkpoint"
 	"github.com/wagtailtray/wagtailtray/internal/request/segment"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
 	"github.com/wagtailtray/wagtailtray/pkg/wire"
@@ -33,6 +34,8 @@
 	// how long it may miss them until it gets no new flows.
 	Heartbeat   clock.Millis
 	SilentAfter clock.Millis
+	// Checkpoint tells that the target's flows are kept in the platform's store.
+	Checkpoint bool
 }
 
 // held is what an agent knows of one flow of its target.
@@ -46,7 +49,9 @@
 	open bool
 	// guess tells that the agent never saw the flow begin, and the target has
 	// not shown yet that it holds it.
-	guess   bool
+	guess bool
+	// claimed tells that an earlier process of the agent saw it begin.
+	claimed bool
 	ack     uint32
 	lastIn  clock.Millis
 	lastOut clock.Millis
@@ -72,6 +77,7 @@
 	// denied are flows that the target has returned packets of.
 	denied   *simplelru.LRU[segment.Flow, struct{}]
 	upstream upstream
+	keeping  keeping
 	// told is the target's condition that balancers were told last.
 	told     wire.Condition
 	sequence uint64
@@ -87,6 +93,7 @@
 // NewHolder returns a Holder that knows nothing of its target yet.
 func NewHolder(now clock.Millis, settings HolderSettings) *Holder {
 	h := &Holder{settings: settings, started: now, working: map[segment.Flow]*held{}}
+	h.keeping = keeping{on: settings.Checkpoint, writer: checkpoint.NewWriter()}
 	h.flows, _ = simplelru.NewLRU(max(settings.Flows, 1), func(id segment.Flow, _ *held) { delete(h.working, id) })
 	h.denied, _ = simplelru.NewLRU[segment.Flow, struct{}](max(settings.Flows, 1), nil)
 	return h
@@ -114,6 +121,8 @@
 		h.asked(now, from, p)
 	case wire.Verb_VERB_PROBE:
 		h.probed(now, from, p)
+	case wire.Verb_VERB_KEPT:
+		h.kept(p)
 	}
 }
 
@@ -198,7 +207,7 @@
 		h.giveBack(now, from, seg, p.Packet, wire.Cause_CAUSE_UNOWNED)
 		return
 	case wire.Holding_HOLDING_UNSURE:
-		if !h.flows.Contains(id) {
+		if f, ok := h.flows.Peek(id); !ok || !f.guess {
 			h.flows.Add(id, &held{guess: true, opened: now})
 		}
 	}
@@ -233,6 +242,9 @@
 		h.flows.Add(id, f)
 	}
 	f.lastOut = now
+	if f.ack == 0 {
+		f.ack = seg.Seq
+	}
 	if f.guess {
 		f.guess, f.open = false, true
 		h.own(id, f)
--- a/internal/connection/stream/load.go
+++ b/internal/connection/stream/load.go
@@ -23,6 +23,9 @@
 // Tick ends what is over and measures the load.
 func (h *Holder) Tick(now clock.Millis) {
 	h.sample(now)
+	h.judgePast(now)
+	h.resetLost(now)
+	h.keep(now)
 	if h.upstream.outlier.due(now) {
 		h.noteCondition(now, "on trial")
 	}
--- a/internal/connection/stream/opening.go
+++ b/internal/connection/stream/opening.go
@@ -21,6 +21,9 @@
 			return
 		}
 	}
+	if s.table == nil && s.wait(now, id, packet, "no configuration yet") {
+		return
+	}
 	service, err := s.pick(id)
 	if err != nil {
 		return
@@ -89,6 +92,10 @@
 	}
 	refused := len(f.tried) > 0
 	reason := "no target is ready"
+	if !refused && s.wait(now, id, packet, reason) {
+		s.flows.Remove(id)
+		return
+	}
 	if refused {
 		reason = "every target turned it away"
 		s.out.Resets = append(s.out.Resets, Reset{Flow: id})
--- a/internal/connection/stream/outcome.go
+++ b/internal/connection/stream/outcome.go
@@ -51,6 +51,8 @@
 	Accepted   Kind = "accepted"
 	Returned   Kind = "returned"
 	Failed     Kind = "failed"
+	Restored   Kind = "restored"
+	Waits      Kind = "waits"
 )
 
 // Event is one decision with what decided it.
--- a/internal/connection/stream/report.go
+++ b/internal/connection/stream/report.go
@@ -74,6 +74,9 @@
 	if p.Report == nil {
 		return
 	}
+	if p.Report.Keeps {
+		h.keeping.keeper, h.keeping.heard = from, now
+	}
 	if former := p.Report; former.Epoch != 0 && former.Epoch != h.settings.Epoch && former.Born == h.upstream.born {
 		// The balancer heard an earlier process beside the same target, which
 		// may have opened flows that this one never saw.
--- a/internal/connection/stream/restore.go
+++ b/internal/connection/stream/restore.go
@@ -1,105 +1,135 @@
 package stream
 
 import (
+	"net/netip"
+
 	"github.com/wagtailtray/wagtailtray/internal/connection/checkpoint"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
+	"github.com/wagtailtray/wagtailtray/pkg/wire"
 )
 
-// resetsPerTick bounds the callers that are told in one tick of lost flows.
-const resetsPerTick = 200
+const (
+	// resetsPerTick bounds the callers that are told in one tick of lost flows.
+	resetsPerTick = 200
+	// keeperFor is the silence after which the keeper no longer counts as there: it
+	// probes targets of its failure domain every 200 ms.
+	keeperFor = 2 * clock.Second
+)
 
-// past is what an earlier process of this agent has left.
-type past struct {
-	entry checkpoint.Entry
-	// wall is the clock of the VM, in Unix milliseconds, less the process's own.
-	wall int64
+// keeping is what an agent does for its flows to outlive a loss of power.
+type keeping struct {
+	// on tells that flows are kept at all, and read that what an earlier process has
+	// left was read, or that there was nothing.
+	on   bool
+	read bool
+	// past is the entry of an earlier process that was not judged yet, at is the
+	// clock of the VM in Unix milliseconds less the process's own when it was read,
+	// and lost are flows of an earlier target whose callers are still to be told.
+	past *checkpoint.Entry
+	at   int64
+	lost checkpoint.Flows
+	// keeper is the balancer that keeps the entries of this failure domain.
+	keeper netip.AddrPort
+	heard  clock.Millis
+	writer *checkpoint.Writer
 }
 
-// Entry returns the target's open flows for the store, the longest unused first.
+// entry returns the target's open flows, the longest unused first.
 //
 // A flow is the present target's only if a heartbeat came after its opening: the
 // target may have started anew since the heartbeat before.
-func (h *Holder) Entry(wall int64) checkpoint.Entry {
+func (h *Holder) entry() checkpoint.Entry {
 	u := &h.upstream
-	e := checkpoint.Entry{Service: h.settings.Service, Born: u.born, Writer: h.settings.Epoch, At: wall}
+	e := checkpoint.Entry{Service: h.settings.Service, Born: u.born, Writer: h.settings.Epoch}
 	for _, id := range h.flows.Keys() {
 		f, ok := h.flows.Peek(id)
 		if ok && f.open && !f.guess && f.ended == 0 && f.opened < u.beat {
-			e.Flows = append(e.Flows, checkpoint.Flow{ID: id, Ack: f.ack})
+			e.Flows = e.Flows.Add(checkpoint.Flow{ID: id, Ack: f.ack})
 		}
 	}
 	return e
 }
 
-// Keeps reports that there is a target whose flows may be written, and that what an
-// earlier process has left was judged.
-func (h *Holder) Keeps() bool {
-	u := &h.upstream
-	return u.known && u.born != 0 && !u.gone && h.past == nil && len(h.lost) == 0
+// keep sends the open flows to the keeper if there is news of them. What an earlier
+// process has left is replaced by that, so it must have been judged.
+func (h *Holder) keep(now clock.Millis) {
+	k, u := &h.keeping, &h.upstream
+	judged := k.read && k.past == nil && len(k.lost) == 0
+	if !k.on || !judged || !u.known || u.born == 0 || u.gone || now.Sub(k.heard) > keeperFor || !k.writer.Due(now) {
+		return
+	}
+	e := h.entry()
+	if !k.writer.Changed(&e) {
+		return
+	}
+	for _, part := range k.writer.Parts(&e) {
+		h.out.send(k.keeper, &wire.Parcel{Verb: wire.Verb_VERB_KEEP, Checkpoint: part})
+	}
 }
 
-// Targets returns how many targets there are, as balancers say.
-func (h *Holder) Targets() int {
-	return h.targets
+// kept takes the keeper's word that an entry is in the store.
+func (h *Holder) kept(p *wire.Parcel) {
+	if p.Checkpoint != nil {
+		h.keeping.writer.Kept(p.Checkpoint.Number, clock.Millis(p.Checkpoint.Pause))
+	}
 }
 
-// Restore takes the entry that an earlier process has left. What it writes itself is
-// no news.
-func (h *Holder) Restore(now clock.Millis, wall int64, e checkpoint.Entry) {
-	if e.Writer == h.settings.Epoch {
-		return
-	}
-	h.past = &past{entry: e, wall: wall - int64(now)}
+// Restore takes the entry that an earlier process has left, or nil if there is none.
+// wall is the clock of the VM in Unix milliseconds.
+func (h *Holder) Restore(now clock.Millis, wall int64, e *checkpoint.Entry) {
+	h.keeping.read = true
+	h.keeping.past = e
+	h.keeping.at = wall - int64(now)
 	h.judgePast(now)
 }
 
 // judgePast concludes from the entry of an earlier process as soon as it can.
 func (h *Holder) judgePast(now clock.Millis) {
-	if h.past == nil {
+	k, u := &h.keeping, &h.upstream
+	if k.past == nil {
 		return
 	}
-	u := &h.upstream
-	e := &h.past.entry
-	v := e.Judge(int64(now)+h.past.wall, h.settings.FlowLife, checkpoint.Target{
+	v := k.past.Judge(int64(now)+k.at, h.settings.FlowLife, checkpoint.Target{
 		Service: h.settings.Service, Born: u.born, Sequence: u.sequence, Beats: u.beats, Absent: h.empty(now),
 	})
 	switch v {
 	case checkpoint.Wait:
 		return
 	case checkpoint.Claim:
-		h.claim(now, e.Flows)
+		h.claim(now, k.past.Flows)
 	case checkpoint.Gone:
-		h.lost = e.Flows
+		h.noteRestored("the earlier target is gone", k.past.Flows.Len())
+		k.lost = k.past.Flows
 		h.resetLost(now)
 	case checkpoint.Ignore:
-		h.noteRestored("ignored", 0)
+		h.noteRestored("too old, or another service's", 0)
 	}
-	h.past = nil
+	k.past = nil
 }
 
 // claim takes flows for the target's that this process did not see begin.
-func (h *Holder) claim(now clock.Millis, flows []checkpoint.Flow) {
+func (h *Holder) claim(now clock.Millis, flows checkpoint.Flows) {
 	claimed := 0
-	for i := range flows {
-		id := flows[i].ID
-		f, ok := h.flows.Peek(id)
-		if ok && !f.guess || h.denied.Contains(id) {
+	for l := range flows.All() {
+		f, ok := h.flows.Peek(l.ID)
+		if ok && !f.guess || h.denied.Contains(l.ID) {
 			continue
 		}
-		h.flows.Add(id, &held{open: true, claimed: true, ack: flows[i].Ack, opened: h.started, lastIn: now})
+		h.flows.Add(l.ID, &held{open: true, claimed: true, ack: l.Ack, opened: h.started, lastIn: now})
 		claimed++
 	}
 	h.noteRestored("the target lives on", claimed)
 }
 
-// resetLost tells the callers of the flows that were lost with an earlier target, some
-// at a time. A flow that this process knows was opened since.
+// resetLost tells the callers of flows that were lost with an earlier target, some at
+// a time. A flow that this process knows was opened since.
 //
 // Failure: all VMs lost power, and nobody but the callers knows of their flows.
 // Symptom: each sends its next request on a flow that is gone, and waits.
 func (h *Holder) resetLost(now clock.Millis) {
-	size := min(len(h.lost), resetsPerTick)
-	for _, l := range h.lost[:size] {
+	due, rest := h.keeping.lost.Cut(resetsPerTick)
+	h.keeping.lost = rest
+	for l := range due.All() {
 		if f, ok := h.flows.Peek(l.ID); ok && !f.guess {
 			continue
 		}
@@ -111,7 +141,6 @@
 			Age: now.Sub(h.started),
 		})
 	}
-	h.lost = h.lost[size:]
 }
 
 func (h *Holder) noteRestored(reason string, count int) {
--- a/internal/connection/stream/steer.go
+++ b/internal/connection/stream/steer.go
@@ -65,13 +65,19 @@
 	history   *routing.History
 	// settled tells that this balancer knows all targets that others do.
 	settled bool
+	// keeps tells that this balancer keeps the checkpoints of its failure domain.
+	keeps bool
+	// started is when the process began, and waiting are openings from then on for
+	// which there was no route or target.
+	started clock.Millis
+	waiting []waiting
 	out     Outcome
 }
 
 // NewSteerer returns a Steerer that knows nothing yet.
-func NewSteerer(settings Settings) *Steerer {
+func NewSteerer(now clock.Millis, settings Settings) *Steerer {
 	s := &Steerer{
-		settings: settings, Targets: NewTargets(settings.Domain),
+		settings: settings, started: now, Targets: NewTargets(settings.Domain),
 		questions: newQuestions(),
 		history:   routing.NewHistory(settings.FlowLife.Duration()),
 	}
@@ -94,6 +100,7 @@
 	}
 	s.table = t
 	s.history.Note(now, t)
+	s.retry(now)
 	return true
 }
 
@@ -108,6 +115,16 @@
 	s.settled = settled
 }
 
+// SetKeeps tells whether this balancer keeps the checkpoints of its failure domain.
+func (s *Steerer) SetKeeps(keeps bool) {
+	s.keeps = keeps
+}
+
+// Keeps reports whether this balancer keeps the checkpoints of its failure domain.
+func (s *Steerer) Keeps() bool {
+	return s.keeps
+}
+
 func (s *Steerer) version() uint64 {
 	if s.table == nil {
 		return 0
@@ -213,6 +230,9 @@
 	case c.New || c.Condition || c.Reborn:
 		s.out.note(Event{Kind: TargetNew, Target: from, Name: r.Name, Service: r.Service, Reason: r.Condition.String()})
 	}
+	if c.New || c.Condition {
+		s.retry(now)
+	}
 	return c.New
 }
 
@@ -289,7 +309,7 @@
 // was forgotten.
 func (s *Steerer) Tick(now clock.Millis) {
 	for _, t := range s.Targets.Due(now) {
-		r := &wire.Report{Probe: t.probe, Epoch: t.former.epoch, Born: t.former.born}
+		r := &wire.Report{Probe: t.probe, Epoch: t.former.epoch, Born: t.former.born, Keeps: s.keeps && t.Domain == s.settings.Domain}
 		s.out.send(t.Address, &wire.Parcel{Verb: wire.Verb_VERB_PROBE, Report: r})
 	}
 	s.watch(now)
@@ -300,6 +320,7 @@
 		s.advance(now, x)
 	}
 	s.drop()
+	s.retry(now)
 	for len(s.denials) > 0 && now.Sub(s.denials[0].at) > denialFor {
 		s.lapse()
 	}
--- a/internal/connection/stream/target.go
+++ b/internal/connection/stream/target.go
@@ -160,6 +160,12 @@
 	return t, ok
 }
 
+// Left reports that a target has left a short while ago.
+func (ts *Targets) Left(now clock.Millis, a netip.AddrPort) bool {
+	at, ok := ts.left[a]
+	return ok && now.Sub(at) < tombFor
+}
+
 // Sorted returns the targets in the order of their addresses. The result must not
 // be changed, and holds until a target comes or goes.
 func (ts *Targets) Sorted() []*Target {
@@ -220,7 +226,7 @@
 	if _, ok := ts.known[a]; ok || len(ts.known) >= mostTargets {
 		return false
 	}
-	if at, ok := ts.left[a]; ok && now.Sub(at) < tombFor {
+	if ts.Left(now, a) {
 		return false
 	}
 	ts.put(&Target{Address: a, Name: name, Domain: domain, Service: service})
--- a/internal/connection/stream/upstream.go
+++ b/internal/connection/stream/upstream.go
@@ -34,9 +34,11 @@
 
 // upstream is what an agent knows of its target.
 type upstream struct {
-	known     bool
-	born      uint64
-	sequence  uint64
+	known    bool
+	born     uint64
+	sequence uint64
+	// beats counts the heartbeats that were heard of this start.
+	beats     int
 	draining  bool
 	gone      bool
 	slots     int
@@ -97,7 +99,9 @@
 	u.born, u.sequence, u.draining = b.Born, b.Sequence, b.Draining
 	u.slots, u.coldUntil = b.Slots, now+b.Cold
 	u.beat = now
+	u.beats++
 	u.sign(now)
+	h.judgePast(now)
 	if after := h.condition(now); after != before {
 		reason := after.String()
 		if !h.complete {
--- /dev/null
+++ b/internal/connection/stream/waiting.go
@@ -0,0 +1,73 @@
+package stream
+
+import (
+	"slices"
+
+	"github.com/wagtailtray/wagtailtray/internal/request/segment"
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+)
+
+const (
+	// waitFor is how long an opening waits for a route or a target. Its caller sends
+	// a copy by then.
+	waitFor = 400 * clock.Millis(1)
+	// startFor is how long a balancer that has started may lack routes and targets
+	// that are there.
+	startFor = 2 * clock.Second
+	// mostWaiting bounds the openings that wait; a packet of one is some 40 bytes.
+	mostWaiting = 1024
+)
+
+// waiting is an opening that came before there was a route or a target for it.
+type waiting struct {
+	id     segment.Flow
+	at     clock.Millis
+	packet []byte
+}
+
+// wait keeps an opening until there is a route and a target for it. It reports whether
+// it does: a balancer that has run for a while knows who is there.
+//
+// Failure: all VMs lost power, and callers come back while the balancers start.
+// Symptom: openings of the first moments are dropped, and their callers send the next
+// copy 200 or 400 ms later, out of a patience of half a second.
+func (s *Steerer) wait(now clock.Millis, id segment.Flow, packet []byte, reason string) bool {
+	if now.Sub(s.started) > startFor || len(s.waiting) >= mostWaiting {
+		return false
+	}
+	if slices.ContainsFunc(s.waiting, func(w waiting) bool { return w.id == id }) {
+		return true
+	}
+	s.waiting = append(s.waiting, waiting{id: id, at: now, packet: slices.Clone(packet)})
+	s.out.note(Event{Kind: Waits, Flow: id, Reason: reason, Count: len(s.waiting), Version: s.version()})
+	return true
+}
+
+// retry opens the flows that wait and have a route and a target now, in the order in
+// which they came.
+func (s *Steerer) retry(now clock.Millis) {
+	if len(s.waiting) == 0 {
+		return
+	}
+	due := s.waiting
+	s.waiting = nil
+	for _, w := range due {
+		switch {
+		case now.Sub(w.at) > waitFor || s.flows.Contains(w.id):
+		case s.served(now, w.id):
+			s.open(now, w.id, nil, w.packet)
+		default:
+			s.waiting = append(s.waiting, w)
+		}
+	}
+}
+
+// served reports that an opening would get an answer: a target takes it, or there is
+// no listener.
+func (s *Steerer) served(now clock.Millis, id segment.Flow) bool {
+	if s.table == nil {
+		return false
+	}
+	service, err := s.table.Pick(id)
+	return err != nil || s.Targets.ready(now, service)
+}
--- a/internal/process/streamagent/agent.go
+++ b/internal/process/streamagent/agent.go
@@ -54,9 +54,6 @@
 	// findEvery is how often the directory is asked for balancers while none
 	// probes this target.
 	findEvery = 5 * clock.Second
-	// findFirst is how long after the start that is asked first: the balancers
-	// that the settings name may be starting still, or gone, and others run.
-	findFirst = 60 * clock.Millis(1)
 )
 
 // Finder finds balancers to report to, those of a failure domain if there are some.
@@ -89,9 +86,11 @@
 type Deps struct {
 	Codec  segment.Codec
 	Finder Finder
-	Clock  clock.Clock
-	Log    zerolog.Logger
-	Scope  tally.Scope
+	// Checkpoints keeps the target's flows; nil if they are not to be kept.
+	Checkpoints Checkpoints
+	Clock       clock.Clock
+	Log         zerolog.Logger
+	Scope       tally.Scope
 }
 
 // mostFlows bounds the flows that an agent remembers: a target holds a few
@@ -153,6 +152,7 @@
 		Name: settings.Name, Domain: settings.Domain, Service: settings.Service,
 		Epoch: uint64(time.Now().UnixMilli()), Port: settings.Parcels.Port(), Flows: mostFlows,
 		FlowLife: settings.FlowLife, Heartbeat: settings.Heartbeat, SilentAfter: missedBeats * settings.Heartbeat,
+		Checkpoint: deps.Checkpoints != nil,
 	})
 	a.SetSeeds(settings.Seeds)
 	var err error
@@ -168,6 +168,9 @@
 	a.parts.Go(a.serveTarget)
 	a.parts.Go(func() { a.ticks(ctx) })
 	a.parts.Go(func() { a.finds(ctx) })
+	if deps.Checkpoints != nil {
+		a.parts.Go(func() { a.restores(ctx) })
+	}
 	deps.Log.Info().Str("event", "start").Str("service", settings.Service).Str("domain", settings.Domain).
 		Stringer("parcels", settings.Parcels).Int("seeds", len(settings.Seeds)).Msg("agent started")
 	return a, nil
@@ -243,9 +246,7 @@
 	for _, packet := range out.Answers {
 		a.answer(packet)
 	}
-	for _, r := range out.Resets {
-		a.write(a.deps.Codec.Reset(r.Flow, r.Seq), a.caller(r.Flow.Caller.Addr()))
-	}
+	// Balancers hear of the target before callers come back to them.
 	for _, s := range out.Sends {
 		if s.Parcel.Verb == wire.Verb_VERB_RETURN {
 			a.deps.Codec.Mark(s.Parcel.Packet, 0)
@@ -254,6 +255,9 @@
 			a.unsent.Inc(1)
 		}
 	}
+	for _, r := range out.Resets {
+		a.write(a.deps.Codec.Reset(r.Flow, r.Seq), a.caller(r.Flow.Caller.Addr()))
+	}
 	for _, d := range out.Served {
 		a.served.RecordDuration(d.Duration())
 	}
--- a/internal/process/streamagent/look.go
+++ b/internal/process/streamagent/look.go
@@ -39,7 +39,7 @@
 
 // finds looks for balancers while none probes this target.
 func (a *Agent) finds(ctx context.Context) {
-	pause := findFirst
+	pause := clock.Millis(0)
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -38,6 +38,7 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/zeebo/errs"
 
+	"github.com/wagtailtray/wagtailtray/internal/connection/checkpoint"
 	"github.com/wagtailtray/wagtailtray/internal/connection/stream"
 	"github.com/wagtailtray/wagtailtray/internal/process/decisions"
 	"github.com/wagtailtray/wagtailtray/internal/process/directory"
@@ -83,6 +84,8 @@
 	Linger clock.Millis
 	// Seeds are balancers to join through.
 	Seeds []netip.AddrPort
+	// Checkpoint bounds what is kept of targets' flows.
+	Checkpoint checkpoint.KeeperSettings
 }
 
 // Deps are what a balancer works with.
@@ -90,9 +93,11 @@
 	Codec     segment.Codec
 	Source    Source
 	Directory *directory.Directory
-	Clock     clock.Clock
-	Log       zerolog.Logger
-	Scope     tally.Scope
+	// Sheets keeps the checkpoints of the failure domain; nil if they are not kept.
+	Sheets Sheets
+	Clock  clock.Clock
+	Log    zerolog.Logger
+	Scope  tally.Scope
 }
 
 // Balancer is one balancer.
@@ -119,6 +124,10 @@
 	settled bool
 	// watching tells that the last call of the watch was answered.
 	watching bool
+	// keeper collects the checkpoints of the failure domain.
+	keeper *checkpoint.Keeper
+	// keeping tells that this balancer writes them; only keeps uses it.
+	keeping bool
 
 	malformed *decisions.Malformed
 	unsent    tally.Counter
@@ -133,13 +142,14 @@
 func Start(settings Settings, deps Deps) (*Balancer, error) {
 	b := &Balancer{
 		settings: settings, deps: deps,
-		steerer: stream.NewSteerer(stream.Settings{
+		steerer: stream.NewSteerer(deps.Clock.Now(), stream.Settings{
 			Domain: settings.Domain, Flows: mostFlows, FlowLife: settings.FlowLife,
 		}),
 		record:    decisions.NewRecorder(deps.Log, deps.Scope),
 		malformed: decisions.NewMalformed(deps.Log, deps.Scope), unsent: deps.Scope.Counter("unsent"),
 		forwarded: deps.Scope.Counter("packets"), updated: make(chan struct{}, 1),
 	}
+	b.keeper = checkpoint.NewKeeper(settings.Checkpoint)
 	b.peers = NewPeers(deps.Clock.Now(), Peer{
 		Address: settings.Parcels, Name: settings.Name, Domain: settings.Domain,
 		Epoch: uint64(time.Now().UnixMilli()),
@@ -155,6 +165,9 @@
 	b.parts.Go(func() { b.ticks(ctx) })
 	b.parts.Go(func() { b.configure(ctx) })
 	b.parts.Go(func() { b.register(ctx) })
+	if deps.Sheets != nil {
+		b.parts.Go(func() { b.keeps(ctx) })
+	}
 	deps.Log.Info().Str("event", "start").Str("domain", settings.Domain).Stringer("edge", settings.Edge).
 		Stringer("parcels", settings.Parcels).Int("seeds", len(settings.Seeds)).Msg("balancer started")
 	return b, nil
@@ -213,6 +226,8 @@
 			}
 			b.deps.Log.Info().Str("event", "inherited").Stringer("from", from).Int("flows", n).Send()
 		}
+	case wire.Verb_VERB_KEEP:
+		b.takeCheckpoint(from, p.Checkpoint)
 	default:
 		if t, added := b.steerer.Hear(now, from, p, seg); added {
 			b.announce(now, t)
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -37,6 +37,7 @@
 	Processes      Kind = "processes"
 	Incarnations   Kind = "incarnations"
 	Ledgers        Kind = "ledgers"
+	Checkpoints    Kind = "checkpoints"
 )
 
 // Errors of this package, tested with errors.Is.
