A wait for changes goes on where the last one ended

Cause of most of the calls that checkpoints seemed to cost on 73 VMs: each wait for a new configuration began at the revision of the version in force. Once other objects change, the store drops that revision from its history, and then refuses each wait at once; every refusal was followed by a read.

--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -64,9 +64,17 @@
 type Source interface {
 	// Read returns the present version.
 	Read(ctx context.Context) (*routing.Table, error)
-	// Wait returns the next version after a revision. It returns nil without
-	// an error where none came within the source's own patience.
-	Wait(ctx context.Context, revision uint64) (*routing.Table, error)
+	// Wait returns the next change after a revision.
+	Wait(ctx context.Context, revision uint64) (Change, error)
+}
+
+// Change is what a Source has seen after a revision.
+type Change struct {
+	// Table is the latest version; nil where none came within the source's own
+	// patience.
+	Table *routing.Table
+	// Revision is where the next wait goes on.
+	Revision uint64
 }
 
 // Settings are what a balancer is told at start.
@@ -124,6 +132,9 @@
 	settled bool
 	// watching tells that the last call of the watch was answered.
 	watching bool
+	// seen is up to which revision the platform's changes were seen; only configure
+	// uses it.
+	seen uint64
 	// keeper collects the checkpoints of the failure domain.
 	keeper *checkpoint.Keeper
 	// keeping tells that this balancer writes them; only keeps uses it.
--- a/internal/process/streambalancer/configure.go
+++ b/internal/process/streambalancer/configure.go
@@ -107,6 +107,11 @@
 
 // watch waits for a version after the present one. A later version that a peer
 // tells of meanwhile is fetched when the wait ends, or at once by its end.
+//
+// Failure: the present version is old, and the platform has dropped its history while
+// other objects change. Symptom: a wait that begins at the version's own revision is
+// refused at once, each time, and every refusal costs two calls. So the next wait
+// begins where the last one ended.
 func (b *Balancer) watch(ctx context.Context, present *routing.Table) (time.Duration, bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -121,15 +126,16 @@
 		}
 	}()
 	b.setWatching(true)
-	t, err := b.deps.Source.Wait(ctx, present.Revision)
+	change, err := b.deps.Source.Wait(ctx, max(b.seen, present.Revision))
 	if ctx.Err() != nil {
 		return 0, true
 	}
 	b.setWatching(err == nil)
-	if t == nil && err == nil {
+	b.seen = max(b.seen, change.Revision)
+	if change.Table == nil && err == nil {
 		return 0, true
 	}
-	return settle, b.took(t, err, "platform")
+	return settle, b.took(change.Table, err, "platform")
 }
 
 func (b *Balancer) setWatching(on bool) {
