Agents assume nothing of how soon processes are started again

An agent took a target that was up to 400 ms old at the agent's start for one whose flows it knows, since a process was never followed by another within half a second. Where it is followed at once, the first one may have acknowledged a heartbeat and opened flows by then, and the second would deny them. Now it goes by the target itself: after an acknowledged heartbeat the next one comes after the whole pause, so one that comes within three quarters of it was preceded by none. TestFirstHeartbeat fails before.

Flows that are ended when a target started anew were those older than four seconds. The heartbeats may be held up for longer, and then flows of the new target were reset. Now it is the flows that were opened before the earlier target's last heartbeat; younger ones of it are told sooner, too. TestTargetStartedAnew fails before.

--- a/internal/connection/stream/fuzz_test.go
+++ b/internal/connection/stream/fuzz_test.go
@@ -105,7 +105,7 @@
 		}
 	}
 	b.up = false
-	w.after(600, func() { w.startBalancer(b) })
+	w.after(w.restartAfter(true), func() { w.startBalancer(b) })
 }
 
 func (w *world) killBalancer(b *worldBalancer) {
@@ -145,6 +145,20 @@
 	})
 }
 
+// restartAfter is how soon a process is started again: within a second, now and then at
+// once or, after a fault, after many.
+func (w *world) restartAfter(planned bool) clock.Millis {
+	switch w.random.IntN(8) {
+	case 0:
+		return clock.Millis(10 + w.random.IntN(100))
+	case 1:
+		if !planned {
+			return clock.Millis(1000 + w.random.IntN(9000))
+		}
+	}
+	return clock.Millis(100 + w.random.IntN(500))
+}
+
 // restartAgent starts a new process beside the same target.
 func (w *world) restartAgent(a *worldAgent, planned bool) {
 	if !a.up {
@@ -160,7 +174,7 @@
 		w.flushAgent(a)
 	}
 	a.up = false
-	w.after(600, func() {
+	w.after(w.restartAfter(planned), func() {
 		if !planned {
 			a.until(w.now)
 		}
--- a/internal/connection/stream/look.go
+++ b/internal/connection/stream/look.go
@@ -62,7 +62,7 @@
 	}
 	if !before && u.down() && u.known {
 		h.out.note(Event{Kind: Upstream, Reason: "nobody listens", Service: h.settings.Service, Age: now.Sub(u.seen)})
-		h.resetOlder(now, 0, "the target has crashed")
+		h.resetBefore(now+1, "the target has crashed")
 	}
 }
 
--- a/internal/connection/stream/upstream.go
+++ b/internal/connection/stream/upstream.go
@@ -6,16 +6,12 @@
 )
 
 const (
-	// freshFlow is how young a flow may be to belong to a target that started
-	// shortly before its first heartbeat.
-	freshFlow = 4 * clock.Second
-	// youngAge is how old a target may be when its agent starts for no earlier
-	// process of the agent to have served it: that one would have had to start,
-	// open a flow, end and be followed within this time, and a process is started
-	// again half a second after its end at the earliest. youngSequence is how
-	// many heartbeats the target may have tried by then, some 60 ms apart.
-	youngAge      = 400 * clock.Millis(1)
+	// youngSequence is how many heartbeats a target may have tried at the first one
+	// that is heard for no earlier process of the agent to have served it, and
+	// youngPart the part of the pause between two heartbeats within which that must be,
+	// in percent: once one is acknowledged, the next comes after the whole pause.
 	youngSequence = 6
+	youngPart     = 75
 )
 
 // Beat is what a target says of itself in one heartbeat.
@@ -80,7 +76,8 @@
 // target goes by the acknowledgement when it leaves.
 //
 // A target that started anew has none of the flows of before. Their callers are
-// told at once, so that they come back instead of waiting.
+// told at once, so that they come back instead of waiting. Flows that were opened since
+// the last heartbeat of the earlier one may be the new one's.
 func (h *Holder) Beat(now clock.Millis, b Beat) {
 	u := &h.upstream
 	if u.late(now, b, h.settings.SilentAfter) {
@@ -89,9 +86,9 @@
 	before := h.condition(now)
 	switch {
 	case !u.known:
-		h.complete = h.sawAll(now, b)
+		h.complete = h.sawAll(b)
 	case b.Born != u.born:
-		h.resetOlder(now, freshFlow, "the target started anew")
+		h.resetBefore(u.beat, "the target started anew")
 		h.complete = true
 		*u = upstream{}
 	}
@@ -112,16 +109,16 @@
 }
 
 // sawAll reports, at the first heartbeat that this process hears, that no earlier
-// process of the agent has opened flows at the target: an agent opens none before
-// it hears the target, and the target was too young for an earlier one to have
-// heard it. The VM's clock may have been set between the target's start and now,
-// so the number of heartbeats must fit as well.
-func (h *Holder) sawAll(now clock.Millis, b Beat) bool {
+// process of the agent has opened flows at the target: an agent opens none before it
+// acknowledges a heartbeat, and then the target would have waited before this one. The
+// VM's clock may have been set between the target's start and now, so the number of
+// heartbeats must fit as well.
+func (h *Holder) sawAll(b Beat) bool {
 	if b.Sequence <= 1 {
 		return true
 	}
-	atStart := b.Age - now.Sub(h.started)
-	return b.Sequence <= youngSequence && b.Born != 0 && atStart <= youngAge && b.Age >= 0
+	young := b.Age >= 0 && b.Age <= h.settings.Heartbeat*youngPart/100
+	return b.Sequence <= youngSequence && b.Born != 0 && young
 }
 
 // late reports a heartbeat that was overtaken. The start of a target orders its
@@ -153,7 +150,7 @@
 	h.stopping = true
 	h.upstream.gone = h.upstream.gone || h.upstream.down() || h.empty(now)
 	if h.upstream.gone {
-		h.resetOlder(now, 0, "the target has ended")
+		h.resetBefore(now+1, "the target has ended")
 	}
 }
 
@@ -162,12 +159,12 @@
 	return h.upstream.gone
 }
 
-// resetOlder ends the flows that are at least that old at their callers.
-func (h *Holder) resetOlder(now, age clock.Millis, reason string) {
+// resetBefore ends the flows that were opened before a time at their callers.
+func (h *Holder) resetBefore(before clock.Millis, reason string) {
 	ended := 0
 	for _, id := range h.flows.Keys() {
 		f, ok := h.flows.Peek(id)
-		if !ok || now.Sub(f.opened) < age {
+		if !ok || f.opened >= before {
 			continue
 		}
 		h.flows.Remove(id)
--- /dev/null
+++ b/internal/connection/stream/young_test.go
@@ -0,0 +1,58 @@
+package stream
+
+import (
+	"testing"
+
+	"github.com/wagtailtray/wagtailtray/internal/request/segment"
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+	"github.com/wagtailtray/wagtailtray/pkg/wire"
+)
+
+// An agent hears its target for the first time. Whether it knows all flows must not
+// hang on how soon processes are started again: one that follows another at once, beside
+// a target that has just started, would deny flows that are well.
+func TestFirstHeartbeat(t *testing.T) {
+	flow := segment.Flow{Caller: worldAddress(100, 0), Listener: worldListener}
+	for _, c := range []struct {
+		name     string
+		sequence uint64
+		age      clock.Millis
+		want     wire.Holding
+	}{
+		{"the first one", 1, 10, wire.Holding_HOLDING_NOT},
+		{"nobody acknowledged the others", 4, 200, wire.Holding_HOLDING_NOT},
+		{"another agent may have, a pause ago", 2, worldBeat + 20, wire.Holding_HOLDING_UNSURE},
+		{"many were tried", 9, 600, wire.Holding_HOLDING_UNSURE},
+		{"the clock was set back", 3, -5, wire.Holding_HOLDING_UNSURE},
+	} {
+		h := alone()
+		now := testNow + c.age
+		h.Beat(now, Beat{Service: "one", Born: 900, Sequence: c.sequence, Age: c.age, Slots: 4})
+		if got := h.holding(now, flow, 7); got != c.want {
+			t.Errorf("%s: says %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// A target starts anew, and its heartbeats are held up for long. Flows that were opened
+// meanwhile are its own, however old they are by then; those of before are gone, however
+// young.
+func TestTargetStartedAnew(t *testing.T) {
+	h := alone()
+	h.Beat(testNow, Beat{Service: "one", Born: 500, Sequence: 1, Age: 10, Slots: 4})
+	open := func(at clock.Millis, i int) {
+		s := segment.Segment{Source: callerFlow(i).Caller, Destination: worldListener, Flags: segment.Opens}
+		h.Hear(at, worldAddress(1, 0), &wire.Parcel{Verb: wire.Verb_VERB_OPEN, Service: "one", Packet: encode(s)}, &s)
+		s.Flags, s.Ack = segment.Acks, 1000
+		h.Hear(at+1, worldAddress(1, 0), &wire.Parcel{Verb: wire.Verb_VERB_CARRY, Service: "one", Packet: encode(s)}, &s)
+	}
+	open(testNow+100, 1)
+	h.Beat(testNow+1200, Beat{Service: "one", Born: 500, Sequence: 2, Age: 1210, Slots: 4})
+	open(testNow+1500, 2)
+	h.Take()
+	h.Beat(testNow+9000, Beat{Service: "one", Born: 2500, Sequence: 3, Age: 7800, Slots: 4})
+	resets := h.Take().Resets
+	if len(resets) != 1 || resets[0].Flow != callerFlow(1) {
+		t.Errorf("resets %v, want the flow that was opened before the last heartbeat", resets)
+	}
+}
