--- /dev/null
+++ b/internal/capacity/kept.go
@@ -0,0 +1,93 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"strings"
+
+	"github.com/wagtailtray/wagtailtray/internal/connection/checkpoint"
+	"github.com/wagtailtray/wagtailtray/internal/request/segment"
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+)
+
+const (
+	// keptWrites is how many writes a second checkpoints may make: a tenth of the
+	// platform's several hundred.
+	keptWrites = 40
+	// keptValue is the largest value of the platform, in bytes.
+	keptValue = 1 << 20
+	// keptCallers is how many callers share a network of 256 addresses.
+	keptCallers = 256
+)
+
+// kept is what the checkpoints of one failure domain take.
+type kept struct {
+	targets, flows float64
+	objects        int
+	bytes          int
+	held           int
+	pause          clock.Millis
+}
+
+// keep lets a keeper write a failure domain at a size once.
+func keep(s Size) kept {
+	k := checkpoint.NewKeeper(checkpoint.KeeperSettings{Value: keptValue, Life: clock.Minute, Writes: keptWrites})
+	k.SetDomains(domains)
+	out := kept{targets: s.Targets / domains, flows: s.Flows / s.Targets}
+	next := 0
+	for i := range int(out.targets) {
+		agent := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
+		e := checkpoint.Entry{Agent: agent, Service: "service", Born: 1_800_000_000_000, Writer: 1_800_000_000_000}
+		for range int(out.flows) {
+			e.Flows = e.Flows.Add(checkpoint.Flow{ID: keptFlow(next)})
+			next++
+		}
+		for _, part := range checkpoint.NewWriter().Parts(&e) {
+			// Parts that a Writer has made can be read.
+			_ = k.Hear(0, 0, agent, part)
+		}
+	}
+	for _, sheet := range k.Due(0) {
+		data, err := json.Marshal(sheet)
+		if err != nil {
+			panic(err)
+		}
+		out.objects++
+		out.bytes += len(data)
+		for i := range sheet.Entries {
+			out.held += sheet.Entries[i].Flows.Len()
+		}
+	}
+	out.pause = k.Pause()
+	return out
+}
+
+// keptFlow spreads callers over networks and ports.
+func keptFlow(i int) segment.Flow {
+	network := i / keptCallers
+	caller := netip.AddrFrom4([4]byte{100, 64 + byte(network>>8), byte(network), byte(i)})
+	return segment.Flow{
+		Caller:   netip.AddrPortFrom(caller, uint16(1024+i%60_000)),
+		Listener: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i % 4), 1}), 443),
+	}
+}
+
+// keptPage is the part about open flows in the platform's store.
+func keptPage(b *strings.Builder) {
+	const mega, seconds = 1e6, 1000.0
+	s := TwoYears
+	k := keep(s)
+	pause := float64(k.pause) / seconds
+	fmt.Fprintf(b, "## Open flows in the platform's store\n\n")
+	fmt.Fprintf(b, "Flows that are connections only; see design/checkpoints.md. Worked out by running the decisions for one failure domain of %.0f targets with %.0f flows each.\n\n", k.targets, k.flows)
+	fmt.Fprintf(b, "| part | at the size of two years |\n| --- | --- |\n")
+	fmt.Fprintf(b, "| objects of a failure domain | %d, of %.2f MB on the mean |\n", k.objects, float64(k.bytes)/float64(k.objects)/mega)
+	fmt.Fprintf(b, "| flows in them | %.0f %%, those that were used last |\n", 100*float64(k.held)/(k.targets*k.flows))
+	fmt.Fprintf(b, "| pause between two writes of all of them | %.0f s |\n", pause)
+	fmt.Fprintf(b, "| writes of all failure domains | %.2f/s of %d/s that checkpoints may make |\n", float64(k.objects)*domains/pause, keptWrites)
+	fmt.Fprintf(b, "| bytes written by a keeper | %.0f B/s, %.0f B/s for each of its targets |\n", float64(k.bytes)/pause, float64(k.bytes)/pause/k.targets)
+	fmt.Fprintf(b, "| memory of a keeper for flows | %.2f MB |\n", float64(k.held)*16/mega)
+	fmt.Fprintf(b, "| flows opened in one pause, of those open | %.0f %% |\n\n", 100*s.NewFlows*pause/s.Flows)
+	b.WriteString("A caller whose flow is not kept finds out by its next packet, as without checkpoints.\n\n")
+}
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -18,6 +18,7 @@
 	flows(&b, in)
 	clientsPage(&b, in)
 	fleetPage(&b, in)
+	keptPage(&b)
 	b.WriteString(rest)
 	memoryPage(&b, in)
 	return b.String()
--- a/internal/connection/checkpoint/keeper.go
+++ b/internal/connection/checkpoint/keeper.go
@@ -265,7 +265,7 @@
 			continue
 		}
 		e.told = true
-		all = append(all, Acknowledgement{Agent: a, Number: number, Pause: k.pause()})
+		all = append(all, Acknowledgement{Agent: a, Number: number, Pause: k.Pause()})
 	}
 	delete(k.writing, shard)
 	return all
@@ -281,12 +281,12 @@
 // Rest notes that the sheets that were due are done with. jitter is a random number of
 // 0 to 1 that keeps the keepers of failure domains apart.
 func (k *Keeper) Rest(now clock.Millis, jitter float64) {
-	pause := k.pause()
+	pause := k.Pause()
 	k.next = now + pause*3/4 + clock.Millis(jitter*float64(pause)/2)
 }
 
-// pause grows with the bytes and the objects that are to be written, and after failures.
-func (k *Keeper) pause() clock.Millis {
+// Pause is the pause between two writes. It grows with the bytes and the objects that are to be written, and after failures.
+func (k *Keeper) Pause() clock.Millis {
 	size := 0
 	for _, e := range k.entries {
 		size += e.entry.size()
--- a/internal/connection/checkpoint/keeper_test.go
+++ b/internal/connection/checkpoint/keeper_test.go
@@ -111,8 +111,8 @@
 		now, before = k.next, pause
 	}
 	k.Due(now)
-	if acks := k.Wrote(0); len(acks) != 1 || k.pause() != leastPause {
-		t.Errorf("told %+v, pause %d", acks, k.pause())
+	if acks := k.Wrote(0); len(acks) != 1 || k.Pause() != leastPause {
+		t.Errorf("told %+v, pause %d", acks, k.Pause())
 	}
 }
 
@@ -208,7 +208,7 @@
 			held += e.Flows.Len() * flowSize
 		}
 	}
-	pause := float64(k.pause()) / float64(clock.Second)
+	pause := float64(k.Pause()) / float64(clock.Second)
 	t.Logf("%d objects, %d bytes, %.0f%% of the flows, a pause of %.0f s", len(due), written,
 		100*float64(held)/(targets*flows*flowSize), pause)
 	if found != targets {
