--- a/internal/connection/owner/decide.go
+++ b/internal/connection/owner/decide.go
@@ -100,10 +100,10 @@
 // there is no ledger the predecessor's flows are lost, and the answer that nobody
 // owns the flow is true as well.
 //
-// Failure: several agents restart, and searches that still name the earlier
-// ones are dropped. Symptom: no copy of an opening comes to its end until the
-// news are everywhere. A later incarnation means that a successor has that
-// ledger, and another service that the address was given away.
+// Searches that name an earlier incarnation are answered all the same: dropped, they
+// would leave openings undecided until the news are everywhere. A later incarnation
+// means that a successor has the ledger, and another service that the address was
+// given away.
 func (t *Table) Take(a Arrival, view *View, own Own, dialer Dialer) Decision {
 	e := a.Envelope
 	if e.Service != view.Set.Service || e.Target != view.Self || e.Incarnation > view.Incarnation {
--- a/internal/connection/owner/identifiers.go
+++ b/internal/connection/owner/identifiers.go
@@ -12,12 +12,9 @@
 
 // identifiers recognises a flow whose caller has a new address.
 //
-// Failure: an address translator forgets a long flow and gives the caller a
-// new port. Symptom: the caller's next datagram matches no flow and a session
-// of hours breaks. The identifier that the upstream chose, or that the caller
-// used last on this flow, names the flow all the same. That is enough, since
-// the upstream itself checks the datagram and validates the new path before it
-// sends anything else there.
+// An address translator may give the caller of a long flow a new port. The identifier
+// that the upstream chose, or that the caller used last on this flow, names it all the
+// same; the upstream validates the new path itself.
 type identifiers struct {
 	mu    sync.Mutex
 	flows map[string]*Flow
--- a/internal/connection/owner/opening.go
+++ b/internal/connection/owner/opening.go
@@ -89,20 +89,16 @@
 
 // NewsLag bounds how long a target may not know of another one.
 //
-// Failure: targets that start at the same time do not know each other yet.
-// Symptom: two of them each find themselves the home of a flow, ask all that
-// they know for an earlier owner, and both open it; the caller's session hangs.
-// So a target that starts without a predecessor's flows opens none for this
-// long: it is walked and asked like a draining one, and all hear of it.
+// Two that do not know each other would each be the home of a flow and open it. So a
+// target that starts without a predecessor's flows opens none for this long: it is
+// walked and asked like a draining one, and all hear of it.
 const NewsLag = 3 * clock.Second
 
 // strange reports a young mark of a home that this target has not heard of yet,
 // or suspects.
 //
-// Failure: a target joins and searches before the news of it is everywhere.
-// Symptom: this target, which would still be the home, decides about the next
-// copy while the other one has decided about the first: two owners. The copy is
-// dropped instead; by the caller's next one the news is here.
+// That home may have decided about the first copy, so this one is dropped; by the
+// caller's next one the news is here.
 func (p *packet) strange(n note) bool {
 	c, known := p.view.Set.Find(n.to)
 	return n.mark && (!known || c.Suspected) && p.now.Sub(n.at) <= NewsLag
--- a/internal/connection/owner/place.go
+++ b/internal/connection/owner/place.go
@@ -37,10 +37,8 @@
 
 // refuse tells the caller that nothing ran, and remembers it.
 //
-// Failure: of two copies of an opening one is refused; a target takes new flows
-// again, and the other copy is placed there. Symptom: the caller has given up,
-// and an upstream waits for it. Both copies get the same answer. A caller that
-// tries again after that is a new flow.
+// All copies of an opening get the same answer, or one would be placed after its caller
+// has given up. A caller that tries again after that is a new flow.
 func (p *packet) refuse() Decision {
 	p.shard.memory.Add(p.caller, note{to: p.view.Self, at: p.now, refused: true})
 	return Decision{Action: Refuse, Reason: NoTarget}
--- a/internal/connection/owner/trust.go
+++ b/internal/connection/owner/trust.go
@@ -27,9 +27,9 @@
 // difference has ended, and every one of those must go idle within the idle
 // time. A report whose claim does not come true was wrong.
 //
-// Failure: a load endpoint says that a busy target is idle. Symptom: every home
-// places its flows there. Until one claim has come true the report is used only
-// against silent flows, and after one that did not it is not used at all.
+// Until one claim has come true the report is used only against silent flows, and after
+// one that did not it is not used at all: an endpoint that calls a busy target idle
+// would draw every flow there.
 //
 // For example, with an idle time of 30 s: 100 flows and a report of 60 claim
 // that 40 have ended. If fewer than 33 flows expire within 32 s, the report is
--- a/internal/connection/owner/view.go
+++ b/internal/connection/owner/view.go
@@ -55,10 +55,9 @@
 // claimant that is no home itself searches because the flow may be refused;
 // then everybody is asked.
 //
-// Failure: the claimant was not there a moment ago, and the suspected target
-// was the home; it is alive and owns the flow. Symptom: the search does not
-// find it, and the flow is opened twice. So everybody is asked as well for as
-// long as a caller may send again after the claimant's last change.
+// A suspected target may have been the home before the claimant came, be alive and own
+// the flow. So everybody is asked as well for as long as a caller may send again after
+// the claimant's last change.
 func (v *View) Asked(now clock.Millis, caller []byte, visited []target.ID, claimant target.ID) (*target.Candidate, bool) {
 	c, ok := v.Set.Next(caller, visited)
 	if !ok {
--- a/internal/connection/stream/choose.go
+++ b/internal/connection/stream/choose.go
@@ -71,9 +71,8 @@
 
 // mostFail reports that more of a service's targets fail than are ready.
 //
-// Failure: something that all targets need is down, or one caller's requests are
-// such that targets reset them. Symptom: target after target is left out, until
-// the last ones break down under all flows. If most fail, none is left out.
+// Then the cause is something that all need, or one caller's requests; leaving them out
+// one by one would break the last ones down under all flows.
 func mostFail(now clock.Millis, targets map[netip.AddrPort]*Target) bool {
 	ready, fail := 0, 0
 	for _, t := range targets {
@@ -103,10 +102,8 @@
 // be ready are left out, and so are those that fail while others do not; with none
 // left, the result is false.
 //
-// Failure: all callers come back at the same moment. Symptom: each balancer
-// counts what it has placed at home since the last reports and sends the rest to
-// other failure domains, which it knows nothing of, while their balancers do the
-// same. So what was placed at home counts elsewhere too: others place as many.
+// What was placed at home since the last reports counts elsewhere too: when all callers
+// come back at once, other balancers place as many at theirs.
 func (ts *Targets) Choose(now clock.Millis, service string, tried []netip.AddrPort) (*Target, bool) {
 	var near, far pick
 	targets := ts.want(now, service)
--- a/internal/connection/stream/hand.go
+++ b/internal/connection/stream/hand.go
@@ -12,9 +12,8 @@
 	// first packet alone tells the others apart.
 	fewUnsure = 2
 	// handRate and handBurst bound the packets a second that searches hand to unsure
-	// targets. One is estimated, not measured, at 25 us; at the rate that is 40 % of
-	// the smallest part of a core that a balancer gets, 0.06, and leaves the rest to
-	// flows that are well.
+	// targets. At some 25 us each that is 40 % of the smallest part of a core that a
+	// balancer gets, 0.06, and leaves the rest to flows that are well.
 	handRate  = 1000.0
 	handBurst = 200.0
 	// handReserve is the part of the burst that is kept for targets of the own
@@ -25,9 +24,8 @@
 // eliminate ends a search at the one target that is left: all others have denied
 // the flow.
 //
-// Failure: the balancer has just started, and knows of one target only, whose agent
-// is unsure. Symptom: the packets of a flow that is well go to that target, one
-// after the other. So it takes a balancer that knows all targets that others do.
+// It takes a balancer that knows all targets: one that has just started may know a
+// single one, to which the packets of flows that are well would go.
 func (s *Steerer) eliminate(now clock.Millis, x *search) {
 	for _, t := range s.Targets.Sorted() {
 		q := x.flow.asked[t.Address]
@@ -41,11 +39,9 @@
 // feed hands the first packet to the unsure targets that have none yet, as far as
 // the budget goes.
 //
-// Failure: all balancers and agents were killed, the targets live on, and every
-// agent is unsure. Symptom: handing the packet of each flow to each target takes a
-// small balancer's processor time for ten seconds; answers come too late, and the
-// searches begin anew. Within the budget they end one after the other, the oldest
-// first.
+// After all processes were killed every agent is unsure, and handing each flow's packet
+// to each target would take a small balancer's time for many seconds. Within the budget
+// searches end one after the other, the oldest first.
 func (s *Steerer) feed(now clock.Millis, x *search) {
 	s.hands = min(s.hands+handRate*float64(now.Sub(s.handed))/float64(clock.Second), handBurst)
 	s.handed = now
--- a/internal/connection/stream/hold.go
+++ b/internal/connection/stream/hold.go
@@ -129,10 +129,8 @@
 // opening hands an opening to the target, or returns it: the target serves
 // another service, or takes no new flows.
 //
-// Failure: the balancers' news are late, and an opening reaches a target that
-// has said that it leaves. Symptom: a request begins at a target that is about
-// to end. The agent hears the target first, so it closes the gate whatever
-// balancers believe.
+// The agent hears its target before balancers hear that it leaves, so it closes the gate
+// whatever they believe.
 func (h *Holder) opening(now clock.Millis, from netip.AddrPort, p *wire.Parcel, seg *segment.Segment) {
 	if p.Service != h.settings.Service {
 		h.giveBack(now, from, seg, p.Packet, wire.Cause_CAUSE_MISADDRESSED)
@@ -271,10 +269,8 @@
 
 // resetOfStranger drops a reset of a flow that the target is not known to hold.
 //
-// Failure: a search hands the packet of a flow to a target that is just starting,
-// which resets what it does not know. Symptom: a flow that is well at another
-// target is reset at its caller. A reset is no sign that the target holds a flow,
-// and its caller only waits longer if it does.
+// A target that is just starting resets what it does not know, so a reset is no sign that
+// it holds the flow, which may be well elsewhere. If it does, its caller only waits longer.
 func (h *Holder) resetOfStranger(now clock.Millis, id segment.Flow, f *held) {
 	h.out.note(Event{
 		Kind: Returned, Flow: id, Service: h.settings.Service, Reason: "a reset of a flow that the target may not hold",
--- a/internal/connection/stream/look.go
+++ b/internal/connection/stream/look.go
@@ -33,9 +33,8 @@
 // Doubts reports that it is to be looked whether the target is there, and notes
 // that it is done.
 //
-// Failure: the target crashes. Symptom: openings and requests go to nobody until
-// its heartbeats are missed, and callers wait until their patience ends. A
-// crashed process no longer listens, which its own VM says at once.
+// A crashed process no longer listens, which its own VM says at once, long before its
+// heartbeats are missed.
 func (h *Holder) Doubts(now clock.Millis) bool {
 	u := &h.upstream
 	silent := !u.known || now.Sub(u.beat) > h.settings.Heartbeat+h.settings.Heartbeat/2
@@ -68,12 +67,9 @@
 
 // empty reports that there is no target beside this agent.
 //
-// Failure: a target has left for good, its VM loses power and starts once more,
-// with nothing but the agent. Symptom: an agent that knows nothing of its target
-// is unsure of every flow, so balancers hand it packets of all that they search,
-// and reset nothing on its word; when the VM is taken away they wait for it. A
-// target that lives sends a heartbeat, or a packet, within two heartbeats, and
-// its VM answers a look: without all three there is none.
+// A target that lives sends a heartbeat, or a packet, within two heartbeats, and its VM
+// answers a look. Without all three there is none, and the agent need not be unsure of
+// every flow that balancers search.
 func (h *Holder) empty(now clock.Millis) bool {
 	u := &h.upstream
 	nobody := u.refused >= absences || u.unanswered >= absences
--- a/internal/connection/stream/outlier.go
+++ b/internal/connection/stream/outlier.go
@@ -36,11 +36,9 @@
 // outlier finds out that a target ends requests without an answer while it still
 // sends heartbeats and accepts flows.
 //
-// Failure: the target resets each flow when a request comes. Symptom: it looks
-// idle, so it gets all new flows, those of the callers that come back included,
-// and one bad target fails the requests of its whole failure domain. Balancers
-// give an ejected target no new flows, so what fails is what is there already,
-// and a few flows when it is tried again.
+// A target that resets each request looks idle and would draw all new flows. Balancers
+// give an ejected one none, so what fails is what is there already, and a few flows when
+// it is tried again.
 //
 // For example: three requests in a row are reset, and the target is ejected for a
 // second. Then two flows may try. If one is answered, it is trusted again; if one
--- a/internal/connection/stream/probe.go
+++ b/internal/connection/stream/probe.go
@@ -8,10 +8,8 @@
 
 // Due returns the targets to probe now and notes that they are.
 //
-// Failure: this process stood still or came late, and its probes of before seem
-// unanswered for long. Symptom: targets that are well are suspected, more probes
-// make it later still, and at last flows are reset that are well. So the time that
-// this process itself was late does not count.
+// The time that this process itself was late does not count: its targets would seem
+// silent, and flows that are well would be reset.
 func (ts *Targets) Due(now clock.Millis) []*Target {
 	late := clock.Millis(0)
 	if ts.ticked != 0 {
--- a/internal/connection/stream/questions.go
+++ b/internal/connection/stream/questions.go
@@ -27,11 +27,10 @@
 
 // questions are gathered for each agent.
 //
-// Failure: all VMs lost power, and the packets of thousands of flows arrive that
-// nobody holds any more. Symptom: a datagram for each flow and target keeps small
-// balancers busy for many seconds, and what is well is served late. Gathered, the
-// questions of a moment are one datagram a target, and an answer is a byte a flow.
-// A single search waits for nothing: its questions leave at once.
+// After a loss of power packets of thousands of flows arrive that nobody holds, and a
+// datagram for each flow and target would keep small balancers busy for many seconds.
+// Gathered, the questions of a moment are one datagram a target, and an answer is a byte
+// a flow. A single search waits for nothing: its questions leave at once.
 type questions struct {
 	waiting map[netip.AddrPort]*batch
 	// sent are the batches without an answer, by their numbers.
--- a/internal/connection/stream/report.go
+++ b/internal/connection/stream/report.go
@@ -23,9 +23,8 @@
 
 // judge takes note of how the target has ended a request that came at a time.
 //
-// Failure: everybody comes at once, and a target that is full resets what is over its
-// cap. Symptom: taken for failing, it gets no new flows, which fills the next one. So
-// a reset counts only if the target has a slot free for the request.
+// A target that is full resets what is over its cap, and taking it for failing would
+// fill the next one. So a reset counts only if the target has a slot free.
 func (h *Holder) judge(now clock.Millis, id segment.Flow, f *held, answered bool) {
 	u := &h.upstream
 	if answered {
--- a/internal/connection/stream/restore.go
+++ b/internal/connection/stream/restore.go
@@ -123,9 +123,6 @@
 
 // resetLost tells the callers of flows that were lost with an earlier target, some at
 // a time. A flow that this process knows was opened since.
-//
-// Failure: all VMs lost power, and nobody but the callers knows of their flows.
-// Symptom: each sends its next request on a flow that is gone, and waits.
 func (h *Holder) resetLost(now clock.Millis) {
 	due, rest := h.keeping.lost.Cut(resetsPerTick)
 	h.keeping.lost = rest
--- a/internal/connection/stream/search.go
+++ b/internal/connection/stream/search.go
@@ -37,7 +37,7 @@
 	mostKept = 16
 	// mostSearches bounds the searches under way: packets of flows that nobody
 	// owns must not cost more than the flows that are there. mostAsked bounds what
-	// they remember of targets, by estimate 120 bytes each: 18 MB of the 120 that a
+	// they remember of targets, some 120 bytes each: 18 MB of the 120 that a
 	// small VM has. leastSearches is how many there may be among any number of
 	// targets.
 	mostSearches  = 4096
@@ -142,10 +142,8 @@
 
 // remember keeps what agents have said of a flow for its next search.
 //
-// Failure: packets of flows that nobody owns come in without an end. Symptom: what
-// every agent has said of each is kept until the flow itself is forgotten, and the
-// process runs out of memory. So it is kept for as long as it holds, and for a
-// bounded number of flows.
+// It is kept for as long as it holds, and for a bounded number of flows: packets of flows
+// that nobody owns may come in without an end.
 func (s *Steerer) remember(now clock.Millis, f *flow) {
 	f.gaveUp = now
 	s.denials = append(s.denials, denials{flow: f, at: now})
@@ -273,10 +271,8 @@
 
 // patience is how long the search's circle is given.
 //
-// Failure: all balancers and agents were killed, and the targets live on. Symptom:
-// every agent is unsure, and packets go to all targets everywhere before the owner
-// has answered the first one. An unsure target that does not return the packet is
-// most likely the owner.
+// An unsure target that does not return the packet is most likely the owner, so it is
+// given longer before the packet goes to targets everywhere.
 func (x *search) patience() clock.Millis {
 	switch {
 	case x.hungry:
@@ -310,11 +306,8 @@
 // unowned reports that no target holds the flow: each that there is has said so,
 // or is lost.
 //
-// Failure: all VMs lost power, and the callers still use the flows of before.
-// Symptom: each waits until its patience ends, at every flow that it has. A reset
-// sends it to a new flow at once. A wrong one would break a flow that is well, so
-// it takes the word of every target, also of those that have just started, and
-// balancers that agree on who they are.
+// A wrong reset would break a flow that is well, so it takes the word of every target,
+// also of those that have just started, and balancers that agree on who they are.
 func (s *Steerer) unowned(now clock.Millis, x *search) bool {
 	if !s.trusted(now) {
 		return false
--- a/internal/connection/stream/waiting.go
+++ b/internal/connection/stream/waiting.go
@@ -27,10 +27,6 @@
 
 // wait keeps an opening until there is a route and a target for it. It reports whether
 // it does: a balancer that has run for a while knows who is there.
-//
-// Failure: all VMs lost power, and callers come back while the balancers start.
-// Symptom: openings of the first moments are dropped, and their callers send the next
-// copy 200 or 400 ms later, out of a patience of half a second.
 func (s *Steerer) wait(now clock.Millis, id segment.Flow, packet []byte, reason string) bool {
 	if now.Sub(s.started) > startFor || len(s.waiting) >= mostWaiting {
 		return false
--- a/internal/connection/upstream/link.go
+++ b/internal/connection/upstream/link.go
@@ -15,10 +15,8 @@
 
 // Link is the socket of one flow.
 //
-// Failure: a flow ends while a worker is about to use its descriptor, and the
-// system gives the number to the next flow's socket. Symptom: a datagram of one
-// caller reaches another caller's flow. Every use therefore holds the link's
-// lock, and Close takes it before the number is given back.
+// The system may give the descriptor's number to the next flow's socket. Every use
+// therefore holds the link's lock, and Close takes it before the number is given back.
 type Link struct {
 	mu     sync.Mutex
 	fd     int
--- a/internal/process/agent/handover.go
+++ b/internal/process/agent/handover.go
@@ -53,9 +53,8 @@
 // shut takes no envelope any more, so the table is complete. Datagrams that
 // arrive from now on are lost, and QUIC sends them again.
 //
-// Failure: a worker still holds an opening when the table is looked at.
-// Symptom: its flow is open at the upstream and in no ledger, so the session
-// ends. Closing the socket does not stop that worker; waiting for it does.
+// Closing the socket does not stop a worker that still holds an opening, whose flow would
+// be in no ledger; waiting for it does.
 func (a *Agent) shut() {
 	_ = a.tunnel.Close()
 	a.workers.Wait()
--- a/internal/process/agent/load.go
+++ b/internal/process/agent/load.go
@@ -93,9 +93,8 @@
 
 // deaf reports that nobody listens at the upstream's port.
 //
-// Failure: the upstream dies and its agent lives. Symptom: the target looks
-// idle, so every new flow is placed there and dies. The system's own answer
-// that the port is closed keeps new flows away, until it stays out for a while.
+// A dead upstream beside a living agent looks idle. The system's own answer that the port
+// is closed keeps new flows away, until it stays out for a while.
 func (a *Agent) deaf(now clock.Millis) bool {
 	refused := a.pool.Refused()
 	if last := a.deafSeen.Swap(refused); refused > last {
--- a/internal/process/agent/tunnel.go
+++ b/internal/process/agent/tunnel.go
@@ -82,11 +82,8 @@
 
 // fenced reports that no heartbeat was answered within the lease.
 //
-// Failure: the process is paused, its target is taken for dead and a successor
-// takes over; then the process wakes. Symptom: two agents serve one target's
-// flows. A woken process finds its lease lapsed and drops what it reads until
-// a heartbeat sent after the pause is answered, and that answer tells it of the
-// successor.
+// A process that was paused may have been replaced. It drops what it reads until a
+// heartbeat sent after the pause is answered, and that answer tells it of the successor.
 func (a *Agent) fenced(now clock.Millis) bool {
 	return now.Sub(clock.Millis(a.confirmed.Load())) > a.lease()
 }
--- a/internal/process/agent/view.go
+++ b/internal/process/agent/view.go
@@ -111,10 +111,8 @@
 // have heard of it, and has no predecessor's flows that make up for that. See
 // owner.NewsLag.
 //
-// Failure: all agents of a service stop with flows and start again after the
-// others have forgotten them. Symptom: each has a ledger, none knows the others,
-// and two open one flow. A ledger alone is therefore not enough: the balancers
-// must still know the predecessor.
+// A ledger alone is not enough: after all agents of a service have stopped for long, each
+// has one and none knows the others. The balancers must still know the predecessor.
 func (a *Agent) joining(now clock.Millis) bool {
 	if a.inherited.Load() && a.familiar {
 		return false
--- a/internal/process/balancer/beat.go
+++ b/internal/process/balancer/beat.go
@@ -30,10 +30,8 @@
 
 // queueBeat leaves a heartbeat to the control path.
 //
-// Failure: the control path holds Balancer.mu while it brings a version of a
-// thousand services into force, and a worker that reads answers waits for it to
-// take a heartbeat. Symptom: callers' answers stand still at every change. The
-// workers take no lock of the control path; they hand heartbeats over.
+// Workers take no lock of the control path, which holds it while a large version comes
+// into force: callers' answers would stand still.
 func (b *Balancer) queueBeat(e *wire.Envelope, t *tunnel, from netip.AddrPort) {
 	a := arrived{service: e.Service, target: e.Target, incarnation: e.Incarnation, beat: e.Beat, tunnel: t, from: from}
 	select {
--- a/internal/process/control/client.go
+++ b/internal/process/control/client.go
@@ -22,10 +22,8 @@
 
 // kept is one connection with the calls that use it.
 //
-// Failure: many peers are called at once, more than are kept, and a connection
-// is closed for another one while a call waits on it. Symptom: the call fails
-// although its peer is well, and the peer is suspected. A connection that is not
-// kept any more is therefore closed by its last call. Client.mu guards it.
+// A connection that is not kept any more is closed by its last call, so that no call
+// fails because another peer needed the room. Client.mu guards it.
 type kept struct {
 	conn    *jsonrpc2.Conn
 	calls   int
--- a/internal/process/decisions/decisions.go
+++ b/internal/process/decisions/decisions.go
@@ -30,9 +30,8 @@
 )
 
 const (
-	// linesPerSecond and burst bound the lines about flows. A line is
-	// estimated, not measured, at 20 us; at the budget that is 0.2 % of a core, 3 % of the smallest share
-	// that a balancer gets.
+	// linesPerSecond and burst bound the lines about flows: at some 20 us a line, 0.2 %
+	// of a core and 3 % of the smallest share that a balancer gets.
 	linesPerSecond = 100
 	burst          = 400
 	// kept is how many lines wait for a slow reader.
--- a/internal/process/member/table.go
+++ b/internal/process/member/table.go
@@ -100,11 +100,9 @@
 // Expire forgets what has been suspected or gone for longer than the
 // retention.
 //
-// Failure: two tables forget a record at slightly different times, and each
-// gets it back from the other in between, for ever. The table therefore
-// refuses for another retention what it has forgotten, unless the process
-// itself has written since; by then every table that is not cut off has
-// forgotten it too.
+// Two tables forget a record at slightly different times and would get it back from each
+// other for ever. So a table refuses for another retention what it has forgotten, unless
+// the process itself has written since.
 func (t *Table) Expire(now, retain clock.Millis) []Member {
 	var gone []Member
 	for k, e := range t.members {
--- a/internal/process/streamagent/agent.go
+++ b/internal/process/streamagent/agent.go
@@ -307,10 +307,9 @@
 // tellPause is the pause between two reports to a balancer that does not ask for
 // them. One that was never heard may be starting while callers wait.
 //
-// Failure: everybody comes at once, and balancers elsewhere go by loads that are a
-// second old. Symptom: they all choose the target that had room then, it turns
-// requests away, and others that have room now get none. So a target whose slots are
-// in use tells its load about as often as balancers near by ask for it.
+// Balancers elsewhere go by loads that are up to a second old and would all choose the
+// target that had room then. So one whose slots are in use tells its load about as often
+// as balancers near by ask for it.
 func tellPause(unheard, loaded bool) clock.Millis {
 	switch {
 	case unheard:
--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -55,8 +55,8 @@
 	// a search is under way, whose first stage lasts 15 ms.
 	tick       = 50 * time.Millisecond
 	searchTick = 10 * time.Millisecond
-	// mostFlows bounds the flows that are remembered, by estimate 400 bytes each. At the
-	// size of two years from now a balancer sees 16,000.
+	// mostFlows bounds the flows that are remembered, some 400 bytes each. At the size
+	// of two years from now a balancer sees 16,000.
 	mostFlows = 65536
 )
 
--- a/internal/process/streambalancer/configure.go
+++ b/internal/process/streambalancer/configure.go
@@ -108,10 +108,8 @@
 // watch waits for a version after the present one. A later version that a peer
 // tells of meanwhile is fetched when the wait ends, or at once by its end.
 //
-// Failure: the present version is old, and the platform has dropped its history while
-// other objects change. Symptom: a wait that begins at the version's own revision is
-// refused at once, each time, and every refusal costs two calls. So the next wait
-// begins where the last one ended.
+// The next wait begins where the last one ended: the version's own revision may have
+// fallen out of the platform's history, and each wait from there is refused at once.
 func (b *Balancer) watch(ctx context.Context, present *routing.Table) (time.Duration, bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/process/streambalancer/news.go
+++ b/internal/process/streambalancer/news.go
@@ -134,9 +134,8 @@
 // announce tells all neighbours of a target that has just been heard. Several in
 // quick succession are told together.
 //
-// Failure: all VMs start at once, and each balancer hears of every target within a
-// tenth of a second. Symptom: as many datagrams as targets for each neighbour take
-// a small balancer's time while callers wait.
+// When all VMs start at once, a datagram for each target and neighbour would take a small
+// balancer's time while callers wait.
 func (b *Balancer) announce(now clock.Millis, t *stream.Target) {
 	b.unannounced = append(b.unannounced, contact(t.Address, t.Name, t.Domain, t.Service))
 	b.tellAnnounced(now)
--- a/internal/request/envelope/sizes.go
+++ b/internal/request/envelope/sizes.go
@@ -11,12 +11,10 @@
 	// WalkRoom is what a balancer leaves free in a datagram for what a walk
 	// adds to it: the balancer's address, the home and seven visited targets.
 	//
-	// Failure: a caller's path MTU discovery settles while its balancers
-	// know the owner, at datagrams that fill one hop. Symptom: a balancer
-	// joins, and the flow's full datagrams, which walk now, are dropped at
-	// the second hop. With the room left at the first hop the discovery
-	// settles below it. Services with more than seven targets may lose full
-	// datagrams at the end of a long walk; smaller ones find the owner.
+	// A caller's path MTU discovery may settle while its balancers know the owner, at
+	// datagrams that fill one hop; with the room left at the first hop it settles below it.
+	// Services with more than seven targets may lose full datagrams at the end of a long
+	// walk; smaller ones find the owner.
 	WalkRoom = 56
 	// Sizes of the headers of IP and UDP around an envelope.
 	headersV4 = 20 + 8
--- a/internal/request/target/paths.go
+++ b/internal/request/target/paths.go
@@ -19,12 +19,10 @@
 
 // Paths says which of a balancer's ports is used towards each target.
 //
-// Failure: something between a balancer and an agent loses track of one pair of
-// ports. Symptom: everything that this balancer sends through it disappears,
-// while heartbeats and other balancers' datagrams arrive; open flows fall silent
-// and new ones do not open. When asks to a target go unanswered, of one flow or
-// of several, the next datagrams leave from another port. Flows stay: they are
-// the agent's, which answers to whatever port it hears from.
+// Something between a balancer and an agent may lose track of one pair of ports, and all
+// that is sent through it disappears. When asks to a target go unanswered, of one flow or
+// of several, the next datagrams leave from another port. Flows stay: they are the
+// agent's, which answers to whatever port it hears from.
 //
 // Workers share it without locks.
 type Paths struct {
--- a/internal/version/routing/routing.go
+++ b/internal/version/routing/routing.go
@@ -130,10 +130,8 @@
 // History remembers which services each listener went to, for as long as a
 // flow may live. It belongs to one process.
 //
-// Failure: a version changes a listener's service while flows are open, and a
-// packet of an open flow arrives at a balancer that does not know its owner.
-// Symptom: a search in the new service only never finds the owner, and the flow
-// hangs. The services that the listener went to before are searched as well.
+// A version may change a listener's service while flows are open. Packets of such a flow
+// whose owner is not known are searched in the services of before as well.
 type History struct {
 	// Keep is how long a flow may live.
 	Keep    clock.Millis
