--- a/internal/connection/stream/hand.go
+++ b/internal/connection/stream/hand.go
@@ -62,7 +62,7 @@
 // add keeps a packet that arrives during a search, and hands it to the targets
 // that may be the owner: an earlier one may have needed no answer.
 func (s *Steerer) add(x *search, packet []byte) {
-	s.keep(x, packet)
+	s.retain(x, packet)
 	s.handOn(x)
 }
 
--- a/internal/connection/stream/report.go
+++ b/internal/connection/stream/report.go
@@ -73,7 +73,7 @@
 	if p.Report == nil {
 		return
 	}
-	if p.Report.Keeps {
+	if p.Report.Keeper {
 		h.keeping.keeper, h.keeping.heard = from, now
 	}
 	if former := p.Report; former.Epoch != 0 && former.Epoch != h.settings.Epoch && former.Born == h.upstream.born {
--- a/internal/connection/stream/restore_test.go
+++ b/internal/connection/stream/restore_test.go
@@ -185,7 +185,7 @@
 func TestNothingIsKeptBeforeThePastIsRead(t *testing.T) {
 	h := returning()
 	beat(h, testNow+5, 500, 80)
-	probe := &wire.Parcel{Verb: wire.Verb_VERB_PROBE, Report: &wire.Report{Probe: 1, Keeps: true}}
+	probe := &wire.Parcel{Verb: wire.Verb_VERB_PROBE, Report: &wire.Report{Probe: 1, Keeper: true}}
 	h.claim(testNow+6, left(3).Flows)
 	beat(h, testNow+1200, 500, 81)
 	sent := func(now clock.Millis) int {
--- a/internal/connection/stream/search.go
+++ b/internal/connection/stream/search.go
@@ -1,9 +1,7 @@
 package stream
 
 import (
-	"bytes"
 	"net/netip"
-	"slices"
 
 	"github.com/wagtailtray/wagtailtray/internal/request/segment"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
@@ -25,10 +23,6 @@
 	// doubles each time. Thousands of searches at once, after all VMs lost power,
 	// must not fill the links that their answers need.
 	askAgain = 100 * clock.Millis(1)
-	// denialFor is how long a denial holds for the next search of the flow. The
-	// target could get the flow only by an opening, and the agent's process
-	// and the target must be the same ones.
-	denialFor = 5 * clock.Second
 	// searchFor is how long a search goes on. By then the caller has sent its
 	// packet again, which begins the next search.
 	searchFor = clock.Second
@@ -59,26 +53,6 @@
 	all
 )
 
-// asked is what a target's agent has said of a flow.
-type asked struct {
-	holding wire.Holding
-	// open tells that the search counts it among those that may own the flow.
-	open bool
-	// search is the search that asked last.
-	search *search
-	// handed tells how many of the kept packets the target was handed.
-	handed int
-	// at is when the agent denied the flow, for its process and target.
-	at   clock.Millis
-	from process
-}
-
-// denies reports whether an earlier denial still holds.
-func (q *asked) denies(now clock.Millis, t *Target) bool {
-	return q.holding == wire.Holding_HOLDING_NOT && now.Sub(q.at) < denialFor &&
-		q.from == process{epoch: t.Epoch, born: t.Born}
-}
-
 // search is a balancer's question who owns a flow. Thousands may be under way at
 // a balancer with a small part of a core, so a search is looked at only when an
 // answer comes or its time is due.
@@ -107,60 +81,11 @@
 	kept int
 }
 
-// keep keeps a packet, unless it is there already: callers send again what is not
-// answered.
-func (s *Steerer) keep(x *search, packet []byte) {
-	known := slices.ContainsFunc(x.packets, func(p []byte) bool { return bytes.Equal(p, packet) })
-	if known || len(x.packets) >= mostKept || s.kept+len(packet) > mostKeptBytes {
-		return
-	}
-	x.packets = append(x.packets, slices.Clone(packet))
-	x.kept += len(packet)
-	s.kept += len(packet)
-}
-
-// drop takes the searches that have ended off the list, with what they kept.
-func (s *Steerer) drop() {
-	s.searches = slices.DeleteFunc(s.searches, func(x *search) bool {
-		if x.over {
-			s.kept -= x.kept
-		}
-		return x.over
-	})
-}
-
 // room is how many searches there may be, and how many flows whose denials are kept.
 func (s *Steerer) room() int {
 	return min(max(mostAsked/max(s.Targets.Len(), 1), leastSearches), mostSearches)
 }
 
-// denials are what was said of a flow in a search that has ended without an owner.
-type denials struct {
-	flow *flow
-	at   clock.Millis
-}
-
-// remember keeps what agents have said of a flow for its next search.
-//
-// It is kept for as long as it holds, and for a bounded number of flows: packets of flows
-// that nobody owns may come in without an end.
-func (s *Steerer) remember(now clock.Millis, f *flow) {
-	f.gaveUp = now
-	s.denials = append(s.denials, denials{flow: f, at: now})
-	for len(s.denials) > s.room() {
-		s.lapse()
-	}
-}
-
-// lapse forgets the oldest denials, unless a later search of the flow has them.
-func (s *Steerer) lapse() {
-	d := s.denials[0]
-	s.denials = s.denials[1:]
-	if d.flow.search == nil && d.flow.gaveUp == d.at {
-		d.flow.asked = nil
-	}
-}
-
 // end takes the search off its flow.
 func (x *search) end() {
 	x.over = true
@@ -180,7 +105,7 @@
 	if f.asked == nil {
 		f.asked = map[netip.AddrPort]*asked{}
 	}
-	s.keep(x, packet)
+	s.retain(x, packet)
 	s.searches = append(s.searches, x)
 	s.out.note(Event{Kind: Searched, Flow: id, Service: f.service, Version: s.version()})
 	s.ask(now, x)
--- a/internal/connection/stream/steer.go
+++ b/internal/connection/stream/steer.go
@@ -65,8 +65,8 @@
 	history   *routing.History
 	// settled tells that this balancer knows all targets that others do.
 	settled bool
-	// keeps tells that this balancer keeps the checkpoints of its failure domain.
-	keeps bool
+	// keeper tells that this balancer keeps the checkpoints of its failure domain.
+	keeper bool
 	// started is when the process began, and waiting are openings from then on for
 	// which there was no route or target.
 	started clock.Millis
@@ -115,14 +115,14 @@
 	s.settled = settled
 }
 
-// SetKeeps tells whether this balancer keeps the checkpoints of its failure domain.
-func (s *Steerer) SetKeeps(keeps bool) {
-	s.keeps = keeps
+// SetKeeper tells whether this balancer keeps the checkpoints of its failure domain.
+func (s *Steerer) SetKeeper(keeper bool) {
+	s.keeper = keeper
 }
 
-// Keeps reports whether this balancer keeps the checkpoints of its failure domain.
-func (s *Steerer) Keeps() bool {
-	return s.keeps
+// Keeper reports whether this balancer keeps the checkpoints of its failure domain.
+func (s *Steerer) Keeper() bool {
+	return s.keeper
 }
 
 func (s *Steerer) version() uint64 {
@@ -309,7 +309,7 @@
 // was forgotten.
 func (s *Steerer) Tick(now clock.Millis) {
 	for _, t := range s.Targets.Due(now) {
-		r := &wire.Report{Probe: t.probe, Epoch: t.former.epoch, Born: t.former.born, Keeps: s.keeps && t.Domain == s.settings.Domain}
+		r := &wire.Report{Probe: t.probe, Epoch: t.former.epoch, Born: t.former.born, Keeper: s.keeper && t.Domain == s.settings.Domain}
 		s.out.send(t.Address, &wire.Parcel{Verb: wire.Verb_VERB_PROBE, Report: r})
 	}
 	s.watch(now)
--- a/internal/connection/stream/store_test.go
+++ b/internal/connection/stream/store_test.go
@@ -96,7 +96,7 @@
 			k.Clear()
 			loaded = false
 		}
-		s.SetKeeps(loaded)
+		s.SetKeeper(loaded)
 		w.after(100, tick)
 	}
 	w.after(clock.Millis(1+w.random.IntN(100)), tick)
@@ -148,7 +148,7 @@
 
 // hearKeep gives a balancer a part of an agent's checkpoint.
 func (w *world) hearKeep(b *worldBalancer, from netip.AddrPort, c *wire.Checkpoint) {
-	if !b.steerer.Keeps() {
+	if !b.steerer.Keeper() {
 		return
 	}
 	if err := b.keeper.Hear(w.now, int64(w.now), from, c); err != nil {
--- a/internal/process/streambalancer/keep.go
+++ b/internal/process/streambalancer/keep.go
@@ -66,12 +66,12 @@
 	}
 	b.keeping = on
 	b.mu.Lock()
-	b.steerer.SetKeeps(on)
+	b.steerer.SetKeeper(on)
 	if !on {
 		b.keeper.Clear()
 	}
 	b.mu.Unlock()
-	b.deps.Log.Info().Str("event", "keeps").Bool("keeping", on).Send()
+	b.deps.Log.Info().Str("event", "keeper").Bool("keeping", on).Send()
 }
 
 // loadSheets reads what is kept before anything is written: what agents have told an
@@ -162,7 +162,7 @@
 // takeCheckpoint takes a part of an agent's checkpoint. The lock is held.
 func (b *Balancer) takeCheckpoint(from netip.AddrPort, c *wire.Checkpoint) {
 	t, ok := b.steerer.Targets.Find(from)
-	if !b.steerer.Keeps() || c == nil || !ok || t.Domain != b.settings.Domain {
+	if !b.steerer.Keeper() || c == nil || !ok || t.Domain != b.settings.Domain {
 		return
 	}
 	if err := b.keeper.Hear(b.deps.Clock.Now(), time.Now().UnixMilli(), from, c); err != nil {
