--- a/internal/connection/checkpoint/keeper.go
+++ b/internal/connection/checkpoint/keeper.go
@@ -112,9 +112,7 @@
 
 // Load takes a sheet that is in the store. What agents have said themselves stays.
 func (k *Keeper) Load(now clock.Millis, wall int64, s *Sheet) {
-	if s.Shards > k.shards {
-		k.split(s.Shards)
-	}
+	k.join(s.Shards)
 	for i := range s.Entries {
 		e := &s.Entries[i]
 		if k.entries[e.Agent] != nil || e.old(wall, k.settings.Life) || len(k.entries) >= mostEntries {
@@ -125,6 +123,21 @@
 	}
 }
 
+// join goes over to the number of objects that the store has. What agents have told
+// this keeper may belong to another one of them then.
+func (k *Keeper) join(shards int) {
+	if shards <= k.shards {
+		return
+	}
+	k.shards = shards
+	clear(k.changed)
+	for a, e := range k.entries {
+		if !e.told {
+			k.changed[k.shard(a)] = true
+		}
+	}
+}
+
 // Hear takes a part of the entry of an agent's target.
 func (k *Keeper) Hear(now clock.Millis, wall int64, agent netip.AddrPort, c *wire.Checkpoint) error {
 	flows := Flows(c.Flows)
--- a/internal/connection/checkpoint/keeper_test.go
+++ b/internal/connection/checkpoint/keeper_test.go
@@ -140,6 +140,31 @@
 	}
 }
 
+// The store has four objects, and the balancer that takes over has heard an agent
+// already: only that agent's object is written.
+func TestKeeperTakesOverShards(t *testing.T) {
+	const shards = 4
+	k := testKeeper()
+	tellFlows(t, k, testNow, 3, 2)
+	for i := range shards {
+		s := &Sheet{Shards: shards, Shard: i}
+		for a := 10; a < 30; a++ {
+			if e := testEntry(a, 1); ShardOf(e.Agent, shards) == i {
+				e.At = testWall
+				s.Entries = append(s.Entries, e)
+			}
+		}
+		k.Load(testNow, testWall, s)
+	}
+	due := k.Due(testNow)
+	if len(due) != 1 || due[0].Shard != ShardOf(testAgent(3), shards) || due[0].Shards != shards {
+		t.Fatalf("due: %+v", due)
+	}
+	if names(&due[0])[3] != 2 {
+		t.Error("the agent's entry is not in its object")
+	}
+}
+
 // A VM is gone for good, or its target has left: the entry goes.
 func TestEntriesEnd(t *testing.T) {
 	k := testKeeper()
--- a/internal/connection/stream/restore_test.go
+++ b/internal/connection/stream/restore_test.go
@@ -218,3 +218,23 @@
 		t.Error("an entry is sent again although it is kept")
 	}
 }
+
+// The agent has read what is there, but its target has spoken once only and may be a
+// process of before: nothing is judged, and nothing may be replaced yet.
+func TestNothingIsKeptBeforeThePastIsJudged(t *testing.T) {
+	h := returning()
+	h.Restore(testNow, testWall, left(3))
+	beat(h, testNow+5, 900, 70)
+	h.claim(testNow+6, left(3).Flows)
+	h.upstream.beat = testNow + 10
+	h.Hear(testNow+20, worldAddress(1, 0), &wire.Parcel{
+		Verb: wire.Verb_VERB_PROBE, Report: &wire.Report{Probe: 1, Keeper: true},
+	}, nil)
+	h.Take()
+	h.Tick(testNow + 30)
+	for _, s := range h.Take().Sends {
+		if s.Parcel.Verb == wire.Verb_VERB_KEEP {
+			t.Error("an entry is sent before the earlier one was judged")
+		}
+	}
+}
