--- a/internal/connection/stream/waiting.go
+++ b/internal/connection/stream/waiting.go
@@ -31,16 +31,13 @@
 	if now.Sub(s.started) > startFor || len(s.waiting) >= mostWaiting {
 		return false
 	}
-	if slices.ContainsFunc(s.waiting, func(w waiting) bool { return w.id == id }) {
-		return true
-	}
 	s.waiting = append(s.waiting, waiting{id: id, at: now, packet: slices.Clone(packet)})
 	s.out.note(Event{Kind: Waits, Flow: id, Reason: reason, Count: len(s.waiting), Version: s.version()})
 	return true
 }
 
 // retry opens the flows that wait and have a route and a target now, in the order in
-// which they came.
+// which they came. The copy of one that was opened is over.
 func (s *Steerer) retry(now clock.Millis) {
 	if len(s.waiting) == 0 {
 		return
