--- a/internal/process/decisions/story.go
+++ b/internal/process/decisions/story.go
@@ -31,9 +31,11 @@
 	Count   int    `json:"count"`
 	Left    int    `json:"left"`
 	Message string `json:"message"`
-	// Settled and Watching are the beliefs of the events of these names.
+	// Settled, Watching and Keeping are the beliefs of the events settled, watch and
+	// keeper.
 	Settled  *bool `json:"settled"`
 	Watching *bool `json:"watching"`
+	Keeping  *bool `json:"keeping"`
 }
 
 const (
@@ -50,6 +52,7 @@
 var beliefs = map[string]bool{
 	string(stream.TargetNew): true, string(stream.TargetLost): true, string(stream.TargetBack): true,
 	string(stream.TargetGone): true, string(stream.Upstream): true, "version": true, "settled": true,
+	string(stream.Restored): true, "keeper": true, "nocheckpoint": true,
 	"start": true, "stop": true, "watch": true, "noconfiguration": true, "peer": true,
 }
 
@@ -134,6 +137,7 @@
 		{"left", fmt.Sprint(l.Left)},
 		{"settled", belief(l.Settled)},
 		{"watching", belief(l.Watching)},
+		{"keeping", belief(l.Keeping)},
 	}
 }
 
