Flows of a living target are no longer claimed after a restart of its agent

By the ablation: an agent that was killed beside a living target took the flows that were kept for its own and asked the target nothing. It guarded no rule, and needed one of its own against ports that callers use again. An entry with the target's own start is left alone now.

--- a/internal/connection/checkpoint/doc.go
+++ b/internal/connection/checkpoint/doc.go
@@ -12,13 +12,12 @@
 // in it with what its target says of itself. Starts are compared for equality, for
 // clocks jump:
 //
-//   - The same start: the flows are the target's, and the agent claims them.
+//   - The same start: the target lives, and its flows with it.
 //   - Another start: the target of the entry is gone, and its callers are told at once.
 //
 // For example, T started at 100 and the entry names F1 and F2. All VMs lose power. The
 // next target at the address says that it started at 900: F1 and F2 are reset. Had only
-// the agent ended, the target would say 100, and the agent would take packets of F1 and
-// F2 without asking the target first.
+// the agent ended, the target would say 100, and nothing would follow.
 //
 // An entry is a hint that may be late, old or another writer's. That is safe: a flow is
 // in an entry only if a heartbeat with the same start came after its opening, so it is
--- a/internal/connection/checkpoint/verdict.go
+++ b/internal/connection/checkpoint/verdict.go
@@ -21,8 +21,8 @@
 const (
 	// Wait means that too little is known of the target yet.
 	Wait Verdict = iota
-	// Claim means that the flows are the target's.
-	Claim
+	// Alive means that the flows are those of the target that is there.
+	Alive
 	// Gone means that the target of the entry is gone, and its flows with it.
 	Gone
 	// Ignore means that nothing follows.
@@ -57,7 +57,7 @@
 	case t.Born == 0:
 		return Wait
 	case t.Born == e.Born && t.Service == e.Service:
-		return Claim
+		return Alive
 	case t.Born == e.Born:
 		return Ignore
 	case t.Beats >= surely, t.Sequence <= fewBeats && t.Born > e.Born:
--- a/internal/connection/checkpoint/writer.go
+++ b/internal/connection/checkpoint/writer.go
@@ -48,7 +48,7 @@
 }
 
 // Changed reports that an entry is worth to be sent. A flow that has ended is no
-// reason: to claim or reset it does no harm.
+// reason: to reset it does no harm.
 func (w *Writer) Changed(e *Entry) bool {
 	if len(e.Flows) > 0 && e.Born != w.born {
 		return true
--- a/internal/connection/stream/asked.go
+++ b/internal/connection/stream/asked.go
@@ -12,7 +12,7 @@
 func (h *Holder) holding(now clock.Millis, id segment.Flow, ack uint32) wire.Holding {
 	f, ok := h.flows.Peek(id)
 	switch {
-	case ok && (f.guess || f.strange(ack)):
+	case ok && f.guess:
 		return wire.Holding_HOLDING_UNSURE
 	case ok && !f.open && f.accepted && ack-f.seq > window:
 		return wire.Holding_HOLDING_NOT
--- a/internal/connection/stream/hold.go
+++ b/internal/connection/stream/hold.go
@@ -49,9 +49,7 @@
 	open bool
 	// guess tells that the agent never saw the flow begin, and the target has
 	// not shown yet that it holds it.
-	guess bool
-	// claimed tells that an earlier process of the agent saw it begin.
-	claimed bool
+	guess   bool
 	ack     uint32
 	lastIn  clock.Millis
 	lastOut clock.Millis
@@ -205,7 +203,7 @@
 		h.giveBack(now, from, seg, p.Packet, wire.Cause_CAUSE_UNOWNED)
 		return
 	case wire.Holding_HOLDING_UNSURE:
-		if f, ok := h.flows.Peek(id); !ok || !f.guess {
+		if !h.flows.Contains(id) {
 			h.flows.Add(id, &held{guess: true, opened: now})
 		}
 	}
--- a/internal/connection/stream/restore.go
+++ b/internal/connection/stream/restore.go
@@ -95,8 +95,8 @@
 	switch v {
 	case checkpoint.Wait:
 		return
-	case checkpoint.Claim:
-		h.claim(now, k.past.Flows)
+	case checkpoint.Alive:
+		h.noteRestored("the target lives on", k.past.Flows.Len())
 	case checkpoint.Gone:
 		h.noteRestored("the earlier target is gone", k.past.Flows.Len())
 		k.lost = k.past.Flows
@@ -107,20 +107,6 @@
 	k.past = nil
 }
 
-// claim takes flows for the target's that this process did not see begin.
-func (h *Holder) claim(now clock.Millis, flows checkpoint.Flows) {
-	claimed := 0
-	for l := range flows.All() {
-		f, ok := h.flows.Peek(l.ID)
-		if ok && !f.guess || h.denied.Contains(l.ID) {
-			continue
-		}
-		h.flows.Add(l.ID, &held{open: true, claimed: true, ack: l.Ack, opened: h.started, lastIn: now})
-		claimed++
-	}
-	h.noteRestored("the target lives on", claimed)
-}
-
 // resetLost tells the callers of flows that were lost with an earlier target, some at
 // a time. A flow that this process knows was opened since.
 func (h *Holder) resetLost(now clock.Millis) {
@@ -143,9 +129,3 @@
 func (h *Holder) noteRestored(reason string, count int) {
 	h.out.note(Event{Kind: Restored, Service: h.settings.Service, Reason: reason, Count: count})
 }
-
-// strange reports that a caller acknowledges what it cannot have got on a flow that
-// was claimed: it may have used the port again.
-func (f *held) strange(ack uint32) bool {
-	return f.claimed && ack-f.ack > window && f.ack-ack > window
-}
