A flow without an owner is told to nobody

Owner and taken were two facts. Where the owner was cleared while as many searches were under way as there may be (735 among 204 targets), no search began, and the flow counted as taken by nobody's address. The next balancer of the failure domain that was heard afresh was to be told the owners, and encoding the address panicked: "As4 called on IP zero value".

Now an owner has a state, and an address only where it has one.

Ruled out: a check in the encoder alone, for the balancer would go on to believe that the flow was taken, and would neither search nor place it.

--- a/internal/connection/stream/opening.go
+++ b/internal/connection/stream/opening.go
@@ -14,12 +14,8 @@
 // the first one; if none has said so yet, to another one, for the first may be
 // dead and accepting twice does no harm.
 func (s *Steerer) open(now clock.Millis, id segment.Flow, f *flow, packet []byte) {
-	if f != nil && f.taken {
-		if t, ok := s.Targets.Find(f.owner); ok && t.Service == f.service && !t.Suspected(now) {
-			f.last = now
-			s.out.send(f.owner, opening(f.service, packet))
-			return
-		}
+	if f != nil && s.reopen(now, f, packet) {
+		return
 	}
 	if s.table == nil && s.wait(now, id, packet, "no configuration yet") {
 		return
@@ -40,6 +36,22 @@
 	s.place(now, id, f, packet)
 }
 
+// reopen sends a copy of an opening to the target that took it, and reports whether it
+// did.
+func (s *Steerer) reopen(now clock.Millis, f *flow, packet []byte) bool {
+	agent, ok := f.owner.Taker()
+	if !ok {
+		return false
+	}
+	t, ok := s.Targets.Find(agent)
+	if !ok || t.Service != f.service || t.Suspected(now) {
+		return false
+	}
+	f.last = now
+	s.out.send(agent, opening(f.service, packet))
+	return true
+}
+
 // pick chooses the flow's service. A caller at an address that nobody listens
 // at is told at once.
 func (s *Steerer) pick(id segment.Flow) (string, error) {
@@ -72,7 +84,7 @@
 	}
 	f.tried = append(f.tried, t.Address)
 	f.pending++
-	f.owner = t.Address
+	f.owner = offeredTo(t.Address)
 	s.out.note(Event{
 		Kind: kind, Flow: id, Target: t.Address, Name: t.Name, Service: f.service, Age: now.Sub(t.Heard),
 		Count: len(f.tried), Version: s.version(),
@@ -137,7 +149,7 @@
 		f.tried = append(f.tried, from)
 	}
 	s.out.note(Event{Kind: Declined, Flow: id, Target: from, Service: f.service, Reason: p.Cause.String()})
-	if f.taken || f.search != nil {
+	if _, known := f.owner.Taker(); known || f.search != nil {
 		return
 	}
 	s.place(now, id, f, p.Packet)
--- a/internal/connection/stream/owners.go
+++ b/internal/connection/stream/owners.go
@@ -12,11 +12,15 @@
 	var all []*wire.Owner
 	for _, id := range s.flows.Keys() {
 		f, ok := s.flows.Peek(id)
-		if !ok || !f.taken || now.Sub(f.last) > s.settings.FlowLife {
+		if !ok || now.Sub(f.last) > s.settings.FlowLife {
+			continue
+		}
+		taker, ok := f.owner.Taker()
+		if !ok {
 			continue
 		}
 		all = append(all, &wire.Owner{
-			Flow: segment.AppendFlow(nil, id), Address: segment.AppendAddress(nil, f.owner), Service: f.service,
+			Flow: segment.AppendFlow(nil, id), Address: segment.AppendAddress(nil, taker), Service: f.service,
 		})
 	}
 	return all
@@ -31,11 +35,11 @@
 		if err != nil {
 			continue
 		}
-		owner, err := segment.ParseAddress(o.Address)
+		agent, err := segment.ParseAddress(o.Address)
 		if err != nil || s.flows.Contains(id) {
 			continue
 		}
-		s.flows.Add(id, &flow{owner: owner, service: o.Service, taken: true, last: now})
+		s.flows.Add(id, &flow{owner: takenBy(agent), service: o.Service, last: now})
 		taken++
 	}
 	return taken
--- a/internal/connection/stream/search.go
+++ b/internal/connection/stream/search.go
@@ -98,7 +98,6 @@
 		s.out.note(Event{Kind: GaveUp, Flow: id, Reason: "too many searches", Count: len(s.searches)})
 		return
 	}
-	f.taken = false
 	f.pending = 0
 	x := &search{id: id, flow: f, began: now, again: now + askAgain, pause: 2 * askAgain}
 	f.search = x
@@ -293,19 +292,19 @@
 
 // found ends a search at the flow's owner, which gets the packets that it was
 // not handed yet.
-func (s *Steerer) found(now clock.Millis, id segment.Flow, f *flow, owner netip.AddrPort) {
+func (s *Steerer) found(now clock.Millis, id segment.Flow, f *flow, agent netip.AddrPort) {
 	x := f.search
-	t, ok := s.Targets.Find(owner)
+	t, ok := s.Targets.Find(agent)
 	if !ok {
 		return
 	}
 	x.end()
-	f.owner, f.service, f.taken, f.last = owner, t.Service, true, now
+	f.owner, f.service, f.last = takenBy(agent), t.Service, now
 	s.out.note(Event{
-		Kind: Found, Flow: id, Target: owner, Name: t.Name, Service: t.Service,
+		Kind: Found, Flow: id, Target: agent, Name: t.Name, Service: t.Service,
 		Age: now.Sub(x.began), Count: len(f.asked), Version: s.version(),
 	})
-	s.hand(x, owner, f.asked[owner], len(x.packets))
+	s.hand(x, agent, f.asked[agent], len(x.packets))
 	f.asked = nil
 }
 
--- a/internal/connection/stream/search_test.go
+++ b/internal/connection/stream/search_test.go
@@ -121,7 +121,7 @@
 		if !ok {
 			t.Fatal("the flow is forgotten")
 		}
-		if found := f.owner == worldAddress(2, 0) && f.taken; found != settled {
+		if found := f.owner == takenBy(worldAddress(2, 0)); found != settled {
 			t.Errorf("settled %v: the flow's owner is %+v", settled, f)
 		}
 	}
--- a/internal/connection/stream/steer.go
+++ b/internal/connection/stream/steer.go
@@ -24,11 +24,8 @@
 
 // flow is what a balancer remembers of one flow.
 type flow struct {
-	// owner is the agent that took the flow, or that the opening was sent to.
-	owner   netip.AddrPort
+	owner   owner
 	service string
-	// taken tells that the agent has said so.
-	taken bool
 	// tried lists the agents that the opening was sent to; pending counts
 	// those that have not answered.
 	tried   []netip.AddrPort
@@ -158,23 +155,24 @@
 	}
 	f.last = now
 	f.ack = seg.Ack
-	switch {
-	case f.search != nil:
+	if f.search != nil {
 		s.add(f.search, packet)
-	case f.owner.IsValid():
-		s.carry(now, id, f, packet)
-	default:
-		s.begin(now, id, f, packet)
+		return
+	}
+	if agent, ok := f.owner.Agent(); ok {
+		s.carry(now, id, f, agent, packet)
+		return
 	}
+	s.begin(now, id, f, packet)
 }
 
 // carry sends a packet to the flow's owner. A target that is known to be gone
 // cannot answer any more, so its flow is searched anew: it may have been opened
 // at two targets.
-func (s *Steerer) carry(now clock.Millis, id segment.Flow, f *flow, packet []byte) {
-	t, ok := s.Targets.Find(f.owner)
+func (s *Steerer) carry(now clock.Millis, id segment.Flow, f *flow, agent netip.AddrPort, packet []byte) {
+	t, ok := s.Targets.Find(agent)
 	if !ok || t.Service != f.service {
-		f.owner = netip.AddrPort{}
+		f.owner = owner{}
 		s.begin(now, id, f, packet)
 		return
 	}
@@ -182,7 +180,7 @@
 		s.end(id, f, "its target is lost", now.Sub(t.Heard))
 		return
 	}
-	s.out.send(f.owner, &wire.Parcel{Verb: wire.Verb_VERB_CARRY, Service: f.service, Packet: packet})
+	s.out.send(agent, &wire.Parcel{Verb: wire.Verb_VERB_CARRY, Service: f.service, Packet: packet})
 }
 
 // trusted reports that this balancer may tell callers that a flow is over: it
@@ -196,9 +194,10 @@
 // end tells a caller that its flow is over, so that it comes back on a new one
 // instead of waiting until its patience ends.
 func (s *Steerer) end(id segment.Flow, f *flow, reason string, age clock.Millis) {
+	agent, _ := f.owner.Agent()
 	s.out.Resets = append(s.out.Resets, Reset{Flow: id, Seq: f.ack})
 	s.out.note(Event{
-		Kind: Ended, Flow: id, Target: f.owner, Service: f.service, Reason: reason, Age: age, Version: s.version(),
+		Kind: Ended, Flow: id, Target: agent, Service: f.service, Reason: reason, Age: age, Version: s.version(),
 	})
 	s.flows.Remove(id)
 }
@@ -259,14 +258,14 @@
 		s.denied(now, f, from)
 		return
 	}
-	if f.taken && f.owner != from {
+	if taker, ok := f.owner.Taker(); ok && taker != from {
 		// A target that a search has handed the packet to as well; the
 		// owner has it.
 		return
 	}
 	s.out.note(Event{Kind: Unowned, Flow: id, Target: from, Service: f.service, Reason: p.Cause.String()})
-	if f.owner == from {
-		f.owner = netip.AddrPort{}
+	if f.owner.is(from) {
+		f.owner = owner{}
 	}
 	s.begin(now, id, f, p.Packet)
 }
@@ -296,11 +295,10 @@
 		s.heard(now, id, f, from, holding)
 		return
 	}
-	if holding != wire.Holding_HOLDING_OWNED || f.taken {
+	if _, known := f.owner.Taker(); known || holding != wire.Holding_HOLDING_OWNED {
 		return
 	}
-	f.taken = true
-	f.owner = from
+	f.owner = takenBy(from)
 	f.pending = 0
 	s.out.note(Event{Kind: Took, Flow: id, Target: from, Service: f.service, Age: now.Sub(f.last)})
 }
