A panic is told in one line on standard error

Cause: of the process that ended by itself only the end of the stack was kept, so what it did could not be read. Now a part of a process that panics writes one line with the reason and the frames around the cause, and the process ends with the exit code of before.

A panic on one datagram ends the process instead of being dropped: a decision that panics may leave half of its state behind and send packets wrongly, while what a process knows is found anew by the next one.

--- /dev/null
+++ b/internal/process/tasks/crash_test.go
@@ -0,0 +1,44 @@
+package tasks
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"testing"
+)
+
+// A decision panics. One line tells the reason and where it was, and the process ends.
+func TestCrashIsTold(t *testing.T) {
+	var out bytes.Buffer
+	code := 0
+	func() {
+		defer func() { crash(&out, func(c int) { code = c }) }()
+		defer func() { _ = recover() }()
+		panicHere()
+	}()
+	if code != 0 || out.Len() != 0 {
+		t.Fatalf("without a panic: code %d, %s", code, out.String())
+	}
+	func() {
+		defer crash(&out, func(c int) { code = c })
+		panicHere()
+	}()
+	var line struct {
+		Event, Reason string
+		Stack         []string
+	}
+	if err := json.Unmarshal(out.Bytes(), &line); err != nil {
+		t.Fatal(err)
+	}
+	if code != crashCode || line.Event != "panic" || !strings.Contains(line.Reason, "nil map") {
+		t.Errorf("code %d, line %+v", code, line)
+	}
+	if !strings.Contains(strings.Join(line.Stack[:min(len(line.Stack), 6)], " "), "panicHere") {
+		t.Errorf("the stack does not begin with the cause: %v", line.Stack)
+	}
+}
+
+func panicHere() {
+	var m map[string]int
+	m["x"] = 1
+}
--- a/internal/process/tasks/tasks.go
+++ b/internal/process/tasks/tasks.go
@@ -1,5 +1,7 @@
 // Package tasks runs the parts of a process and waits for their ends.
 //
+// A panic in a part ends the process, with one line that tells its cause.
+//
 // # Usage
 //
 //	var g tasks.Group
@@ -30,6 +32,7 @@
 	g.wait.Add(1)
 	go func() {
 		defer g.wait.Done()
+		defer crashed()
 		part()
 	}()
 	return true
