--- a/internal/connection/stream/choose.go
+++ b/internal/connection/stream/choose.go
@@ -49,7 +49,7 @@
 // one target that looked idle.
 func (ts *Targets) cost(now clock.Millis, t *Target, each float64) float64 {
 	expected := each * float64(t.Flows)
-	c := (expected+t.Busy)/2 + each*float64(t.placed)
+	c := (expected+t.Busy)/2 + each*float64(t.placed+t.earlier)
 	c /= float64(max(t.Slots, 1))
 	if now < t.ColdUntil {
 		c *= coldFactor
--- a/internal/connection/stream/probe.go
+++ b/internal/connection/stream/probe.go
@@ -23,7 +23,7 @@
 			if t.waiting != 0 {
 				t.waiting += late
 			}
-			if now.Sub(t.probed) < ts.pause(now, t, resting) {
+			if ts.covered(now, t) || now.Sub(t.probed) < ts.pause(now, t, resting) {
 				continue
 			}
 			t.probed = now
@@ -43,7 +43,7 @@
 
 func (ts *Targets) pause(now clock.Millis, t *Target, resting bool) clock.Millis {
 	switch {
-	case t.waiting != 0 && now.Sub(t.waiting) > suspectAfter:
+	case t.waiting != 0 && now.Sub(t.waiting) > suspectAfter, t.doubted != 0:
 		return lostProbe
 	case t.waiting != 0:
 		return againProbe
@@ -66,8 +66,8 @@
 			gone = append(gone, t)
 		}
 	}
-	for a, at := range ts.left {
-		if now.Sub(at) > tombFor {
+	for a, d := range ts.left {
+		if now.Sub(d.at) > tombFor {
 			delete(ts.left, a)
 		}
 	}
--- a/internal/connection/stream/steer.go
+++ b/internal/connection/stream/steer.go
@@ -64,6 +64,10 @@
 	settled bool
 	// keeper tells that this balancer keeps the checkpoints of its failure domain.
 	keeper bool
+	// relay tells that this balancer tells other failure domains of the targets of its
+	// own, and news are those that have changed since they were told last.
+	relay bool
+	news  []*wire.Entry
 	// started is when the process began, and waiting are openings from then on for
 	// which there was no route or target.
 	started clock.Millis
@@ -223,6 +227,12 @@
 // report takes a report and tells whether its target is new.
 func (s *Steerer) report(now clock.Millis, from netip.AddrPort, r *wire.Report) bool {
 	c := s.Targets.Report(now, from, r)
+	s.changed(now, from, r, c)
+	return c.New
+}
+
+// changed notes what a report has changed.
+func (s *Steerer) changed(now clock.Millis, from netip.AddrPort, r *wire.Report, c Change) {
 	switch {
 	case c.Left:
 		s.out.note(Event{Kind: TargetGone, Target: from, Name: r.Name, Service: r.Service})
@@ -232,7 +242,9 @@
 	if c.New || c.Condition {
 		s.retry(now)
 	}
-	return c.New
+	if r.Domain == s.settings.Domain && c.told() {
+		s.spread(entry(from, r, 0, 0))
+	}
 }
 
 // returned takes back a packet that a target did not take.
@@ -307,7 +319,10 @@
 // was forgotten.
 func (s *Steerer) Tick(now clock.Millis) {
 	for _, t := range s.Targets.Due(now) {
-		r := &wire.Report{Probe: t.probe, Epoch: t.former.epoch, Born: t.former.born, Keeper: s.keeper && t.Domain == s.settings.Domain}
+		r := &wire.Report{
+			Probe: t.probe, Epoch: t.former.epoch, Born: t.former.born, Domain: s.settings.Domain,
+			Keeper: s.keeper && t.Domain == s.settings.Domain,
+		}
 		s.out.send(t.Address, &wire.Parcel{Verb: wire.Verb_VERB_PROBE, Report: r})
 	}
 	s.watch(now)
@@ -340,6 +355,9 @@
 			kind = TargetLost
 		}
 		t.noted = suspected
+		if t.Domain == s.settings.Domain {
+			s.spread(entry(t.Address, t.report(now), now.Sub(t.Heard), t.silence(now)))
+		}
 		s.out.note(Event{Kind: kind, Target: t.Address, Name: t.Name, Service: t.Service, Age: now.Sub(t.Heard)})
 	})
 }
--- /dev/null
+++ b/internal/connection/stream/summary.go
@@ -0,0 +1,265 @@
+package stream
+
+import (
+	"net/netip"
+
+	"github.com/wagtailtray/wagtailtray/internal/request/segment"
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+	"github.com/wagtailtray/wagtailtray/pkg/wire"
+)
+
+const (
+	// coverFor is how long a summary stands in for probes: four of one relay.
+	coverFor = 2 * clock.Second
+	// coverSoon is how long a target elsewhere that was only named waits for a summary
+	// until it is probed: a few round trips between failure domains.
+	coverSoon = 300 * clock.Millis(1)
+	// departedFor is how long summaries name a target that has left: several of them
+	// may be lost.
+	departedFor = 2 * clock.Second
+	// summarySize keeps a part of a summary within one frame.
+	summarySize = 1200
+	// mostNews bounds the changes that wait for the next summary of changes; a summary
+	// of all targets tells what is over it.
+	mostNews = 1024
+	// mostSummaries bounds the failure domains whose summaries are remembered. Anybody
+	// may send one.
+	mostSummaries = 64
+)
+
+// summary is how far a summary of all targets of a failure domain has arrived.
+type summary struct {
+	epoch  uint64
+	number uint32
+	parts  map[uint32]bool
+	// complete is when all parts of one were there whose sender knew all targets.
+	complete clock.Millis
+}
+
+// told reports that balancers elsewhere are to be told at once.
+func (c Change) told() bool {
+	return c.New || c.Reborn || c.Left || c.Condition
+}
+
+// entry is a report as a summary tells it.
+func entry(a netip.AddrPort, r *wire.Report, age, silent clock.Millis) *wire.Entry {
+	return &wire.Entry{
+		Address: segment.AppendAddress(nil, a), Age: uint32(max(age, 0)), Silent: uint32(max(silent, 0)),
+		Report: &wire.Report{
+			Name: r.Name, Service: r.Service, Epoch: r.Epoch, Sequence: r.Sequence, Born: r.Born,
+			Condition: r.Condition, Slots: r.Slots, Flows: r.Flows, Busy: r.Busy, Cold: r.Cold, Restarting: r.Restarting,
+		},
+	}
+}
+
+// report is the target as its agent told it last.
+func (t *Target) report(now clock.Millis) *wire.Report {
+	return &wire.Report{
+		Name: t.Name, Service: t.Service, Epoch: t.Epoch, Sequence: t.Sequence, Born: t.Born,
+		Condition: t.Condition, Slots: uint32(t.Slots), Flows: uint32(t.Flows), Busy: uint32(t.Busy * busyScale),
+		Cold: uint32(max(t.ColdUntil.Sub(now), 0)), Restarting: t.Restarting,
+	}
+}
+
+// silence is for how long the target has left probes unanswered, once it is suspected.
+func (t *Target) silence(now clock.Millis) clock.Millis {
+	if !t.Suspected(now) {
+		return 0
+	}
+	return max(now.Sub(t.waiting), 1)
+}
+
+// covered reports that a target elsewhere needs no probe of this balancer: balancers of
+// its failure domain tell how it does.
+//
+// Probes of each balancer to each target would grow with the product of both. What
+// summaries cannot prove is still asked directly: that a target is lost, and whether its
+// agent knows what an earlier process did.
+func (ts *Targets) covered(now clock.Millis, t *Target) bool {
+	if t.Domain == ts.domain || t.waiting != 0 || t.doubted != 0 || t.owed {
+		return false
+	}
+	if t.Heard == 0 {
+		return now.Sub(t.learned) <= coverSoon
+	}
+	return t.told != 0 && now.Sub(t.told) <= coverFor
+}
+
+// summarize returns the targets of the own failure domain, and those that have just
+// left it.
+func (ts *Targets) summarize(now clock.Millis) []*wire.Entry {
+	var all []*wire.Entry
+	for _, t := range ts.Sorted() {
+		if t.Domain == ts.domain && t.Heard != 0 && !t.Lost(now) {
+			all = append(all, entry(t.Address, t.report(now), now.Sub(t.Heard), t.silence(now)))
+		}
+	}
+	for a, d := range ts.left {
+		if d.report.Domain == ts.domain && now.Sub(d.at) < departedFor {
+			all = append(all, entry(a, d.report, now.Sub(d.at), 0))
+		}
+	}
+	return all
+}
+
+// Summarized takes an entry of a summary of another failure domain.
+//
+// Summaries come late, twice and from several balancers; the agents' epochs and counts of
+// reports tell which one is later. One of an earlier process says nothing of this one.
+func (ts *Targets) Summarized(now clock.Millis, a netip.AddrPort, r *wire.Report, age, silent clock.Millis) Change {
+	if d, ok := ts.left[a]; ok && !after(r, d.report) {
+		return Change{}
+	}
+	t, known := ts.known[a]
+	if known && t.Heard != 0 && r.Epoch < t.Epoch {
+		return Change{}
+	}
+	fresh := !known || t.Heard == 0 || r.Epoch > t.Epoch || r.Sequence > t.Sequence
+	placed := 0
+	if known {
+		placed = t.placed
+	}
+	c := Change{}
+	if fresh {
+		c = ts.Report(now, a, r)
+	}
+	t, known = ts.known[a]
+	if !known {
+		return c
+	}
+	if fresh {
+		t.Heard, t.earlier = max(now-age, 1), placed
+	}
+	switch {
+	case silent == 0:
+		t.told = now
+	case r.Sequence >= t.Sequence:
+		t.doubted = now
+	}
+	return c
+}
+
+// after reports that a report was made after the one with which its target left.
+func after(r, left *wire.Report) bool {
+	return r.Epoch > left.Epoch || r.Epoch == left.Epoch && r.Sequence > left.Sequence
+}
+
+// Complete reports that a balancer of another failure domain that knows all targets
+// there has told this one of them lately.
+func (ts *Targets) Complete(now clock.Millis, domain string) bool {
+	s := ts.summaries[domain]
+	return s != nil && s.complete != 0 && now.Sub(s.complete) <= coverFor
+}
+
+// arrived notes a part of a summary of all targets.
+func (ts *Targets) arrived(now clock.Millis, m *wire.Summary) {
+	s := ts.summaries[m.Domain]
+	if s == nil {
+		if len(ts.summaries) >= mostSummaries {
+			return
+		}
+		s = &summary{}
+		ts.summaries[m.Domain] = s
+	}
+	if s.epoch != m.Epoch || s.number != m.Number {
+		s.epoch, s.number, s.parts = m.Epoch, m.Number, map[uint32]bool{}
+	}
+	if m.Part < m.Parts {
+		s.parts[m.Part] = true
+	}
+	if m.Complete && len(s.parts) == int(m.Parts) {
+		s.complete = now
+	}
+}
+
+// FarAge returns how many targets of other failure domains answer, and how old what is
+// known of them is on the mean.
+func (ts *Targets) FarAge(now clock.Millis) (count int, age clock.Millis) {
+	for _, t := range ts.known {
+		if t.Domain != ts.domain && !t.Suspected(now) {
+			count++
+			age += now.Sub(t.Heard)
+		}
+	}
+	return count, age / clock.Millis(max(count, 1))
+}
+
+// SetRelay tells whether this balancer tells other failure domains of the targets of its
+// own.
+func (s *Steerer) SetRelay(relay bool) {
+	s.relay = relay
+	if !relay {
+		s.news = nil
+	}
+}
+
+// spread keeps a change of a target of the own failure domain for the next summary of
+// changes.
+func (s *Steerer) spread(e *wire.Entry) {
+	if s.relay && len(s.news) < mostNews {
+		s.news = append(s.news, e)
+	}
+}
+
+// HasNews reports that a target of the own failure domain has changed in a way that
+// balancers elsewhere are to be told at once.
+func (s *Steerer) HasNews() bool {
+	return len(s.news) > 0
+}
+
+// News returns these targets in summaries of changes.
+func (s *Steerer) News() []*wire.Summary {
+	entries := s.news
+	s.news = nil
+	return s.parts(entries)
+}
+
+// Summary returns all targets of the own failure domain. number counts such summaries,
+// and complete tells that this balancer knows all targets there.
+func (s *Steerer) Summary(now clock.Millis, epoch uint64, number uint32, complete bool) []*wire.Summary {
+	s.news = nil
+	parts := s.parts(s.Targets.summarize(now))
+	for i, p := range parts {
+		p.Epoch, p.Number, p.Complete = epoch, number, complete
+		p.Part, p.Parts = uint32(i), uint32(len(parts))
+	}
+	return parts
+}
+
+// parts cuts entries into summaries of a frame; there is one at least.
+func (s *Steerer) parts(entries []*wire.Entry) []*wire.Summary {
+	var parts []*wire.Summary
+	size := summarySize
+	for _, e := range entries {
+		if n := e.SizeVT(); size+n > summarySize {
+			parts = append(parts, &wire.Summary{Domain: s.settings.Domain})
+			size = 0
+		}
+		p := parts[len(parts)-1]
+		p.Entries = append(p.Entries, e)
+		size += e.SizeVT()
+	}
+	if len(parts) == 0 {
+		return []*wire.Summary{{Domain: s.settings.Domain}}
+	}
+	return parts
+}
+
+// HearSummary takes a summary of another failure domain.
+func (s *Steerer) HearSummary(now clock.Millis, m *wire.Summary) {
+	if m.Domain == s.settings.Domain {
+		return
+	}
+	for _, e := range m.Entries {
+		a, err := segment.ParseAddress(e.Address)
+		if err != nil || e.Report == nil {
+			continue
+		}
+		r := e.Report
+		r.Domain, r.Probe = m.Domain, 0
+		s.changed(now, a, r, s.Targets.Summarized(now, a, r, clock.Millis(e.Age), clock.Millis(e.Silent)))
+	}
+	if m.Number != 0 {
+		s.Targets.arrived(now, m)
+	}
+}
--- /dev/null
+++ b/internal/connection/stream/summary_test.go
@@ -0,0 +1,258 @@
+package stream
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+	"github.com/wagtailtray/wagtailtray/pkg/wire"
+)
+
+// summarized is a balancer of failure domain a that knows targets of b by summaries.
+func summarized(t *testing.T, targets int) *Steerer {
+	t.Helper()
+	s := NewSteerer(0, Settings{Domain: "a", Flows: 100, FlowLife: worldLife})
+	for i := range targets {
+		s.HearSummary(testNow, changeOf(i, ready(1, 1), 0))
+	}
+	return s
+}
+
+// ready is a report of a process of an agent, by its start and the report's number.
+func ready(epoch, sequence uint64) *wire.Report {
+	return &wire.Report{
+		Service: "one", Epoch: epoch, Sequence: sequence, Born: 1, Condition: wire.Condition_CONDITION_READY, Slots: 2,
+	}
+}
+
+func changeOf(target int, r *wire.Report, silent clock.Millis) *wire.Summary {
+	r.Name = fmt.Sprint("t", target)
+	return &wire.Summary{Domain: "b", Entries: []*wire.Entry{entry(worldAddress(2, target), r, 0, silent)}}
+}
+
+// probes counts the probes that a balancer sends in a span, by target.
+func probes(s *Steerer, from, to clock.Millis, each func(now clock.Millis)) map[netip.AddrPort]int {
+	all := map[netip.AddrPort]int{}
+	for now := from; now < to; now += 50 {
+		each(now)
+		s.Tick(now)
+		for a, n := range sent(s)[wire.Verb_VERB_PROBE] {
+			all[a] += n
+		}
+	}
+	return all
+}
+
+// Hundreds of targets are in other failure domains, and balancers there tell how they do.
+// This one need not ask any of them itself; once it is no longer told, it does.
+func TestSummariesStandInForProbes(t *testing.T) {
+	const targets = 200
+	s := summarized(t, targets)
+	sequence := uint64(1)
+	end := testNow + 10*clock.Second
+	asked := probes(s, testNow, end, func(now clock.Millis) {
+		sequence++
+		for i := range targets {
+			s.HearSummary(now, changeOf(i, ready(1, sequence), 0))
+		}
+	})
+	if len(asked) > 0 {
+		t.Errorf("%d targets were probed although they were told of", len(asked))
+	}
+	asked = probes(s, end, end+coverFor+clock.Second, func(clock.Millis) {})
+	if len(asked) != targets {
+		t.Errorf("%d of %d targets were probed after the last summary", len(asked), targets)
+	}
+}
+
+// A relay leaves probes of a target unanswered, because the target is lost or the relay
+// is cut off from it. The target gets no openings and is asked directly; only its own
+// silence makes it count as lost, and its answer makes it count as there.
+func TestSummaryDoubts(t *testing.T) {
+	for _, answers := range []bool{false, true} {
+		s := summarized(t, 2)
+		at := worldAddress(2, 0)
+		s.HearSummary(testNow+100, changeOf(0, ready(1, 1), 400))
+		target, _ := s.Targets.Find(at)
+		if !target.Suspected(testNow+100) || target.Lost(testNow+100) {
+			t.Fatalf("suspected %v, lost %v", target.Suspected(testNow+100), target.Lost(testNow+100))
+		}
+		end := testNow + deadAfter + clock.Second
+		probes(s, testNow+150, end, func(now clock.Millis) {
+			s.HearSummary(now, changeOf(0, ready(1, 1), 400))
+			s.HearSummary(now, changeOf(1, ready(1, uint64(now)), 0))
+			if answers && target.probe != 0 {
+				r := ready(1, uint64(now))
+				r.Domain, r.Probe = "b", target.probe
+				s.Hear(now, at, &wire.Parcel{Verb: wire.Verb_VERB_REPORT, Report: r}, nil)
+			}
+		})
+		if target.Lost(end) == answers || target.Suspected(end) == answers {
+			t.Errorf("answers %v: lost %v, suspected %v", answers, target.Lost(end), target.Suspected(end))
+		}
+	}
+}
+
+// Summaries come late, twice, out of order and from two relays, one of which has not
+// heard yet what the other one has. The later word of the agent stands.
+func TestSummariesOutOfOrder(t *testing.T) {
+	draining := func(epoch, sequence uint64) *wire.Report {
+		r := ready(epoch, sequence)
+		r.Condition = wire.Condition_CONDITION_DRAINING
+		return r
+	}
+	gone := func(epoch, sequence uint64) *wire.Report {
+		r := ready(epoch, sequence)
+		r.Condition = wire.Condition_CONDITION_GONE
+		return r
+	}
+	for _, c := range []struct {
+		name  string
+		heard []*wire.Report
+		known bool
+		opens bool
+	}{
+		{"an earlier report after a later one", []*wire.Report{draining(1, 5), ready(1, 4)}, true, false},
+		{"a report of an earlier process", []*wire.Report{draining(3, 1), ready(2, 9)}, true, false},
+		{"a report of a later process", []*wire.Report{draining(1, 5), ready(2, 1)}, true, true},
+		{"a report of before the target left", []*wire.Report{gone(1, 6), ready(1, 5)}, false, false},
+		{"left, told twice", []*wire.Report{gone(1, 6), gone(1, 6)}, false, false},
+		{"another target after one left", []*wire.Report{gone(1, 6), ready(1, 7)}, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := summarized(t, 1)
+			for _, r := range c.heard {
+				s.HearSummary(testNow+1, changeOf(0, r, 0))
+			}
+			target, known := s.Targets.Find(worldAddress(2, 0))
+			if known != c.known || known && target.Opens(testNow+2) != c.opens {
+				t.Errorf("known %v, want %v; the target is %+v", known, c.known, target)
+			}
+		})
+	}
+}
+
+// An agent is started anew and only a balancer elsewhere remembers the process before,
+// which opened flows that the new one never saw. It asks the agent once itself, so that
+// the agent does not deny them.
+func TestSummaryOfRestartedAgent(t *testing.T) {
+	s := summarized(t, 1)
+	s.HearSummary(testNow+10, changeOf(0, ready(2, 1), 0))
+	s.Tick(testNow + 20)
+	var told []*wire.Report
+	for _, send := range s.Take().Sends {
+		if send.Parcel.Verb == wire.Verb_VERB_PROBE {
+			told = append(told, send.Parcel.Report)
+		}
+	}
+	if len(told) != 1 || told[0].Epoch != 1 || told[0].Born != 1 {
+		t.Errorf("the agent was told %v, want the process of before", told)
+	}
+}
+
+// A target drains, falls silent or leaves: the relay has a summary for other failure
+// domains at once, and names the one that has left for as long as summaries may be lost.
+func TestRelayTellsChanges(t *testing.T) {
+	s := NewSteerer(0, Settings{Domain: "b", Flows: 100, FlowLife: worldLife})
+	s.SetRelay(true)
+	report := func(now clock.Millis, sequence uint64, condition wire.Condition) {
+		r := ready(1, sequence)
+		r.Domain, r.Condition = "b", condition
+		s.Hear(now, worldAddress(2, 0), &wire.Parcel{Verb: wire.Verb_VERB_REPORT, Report: r}, nil)
+	}
+	want := func(condition wire.Condition, silent bool) {
+		t.Helper()
+		parts := s.News()
+		if len(parts) != 1 || len(parts[0].Entries) != 1 {
+			t.Fatalf("told %v, want one change", parts)
+		}
+		e := parts[0].Entries[0]
+		if e.Report.Condition != condition || e.Silent > 0 != silent {
+			t.Errorf("told %v", e)
+		}
+	}
+	report(testNow, 1, wire.Condition_CONDITION_READY)
+	want(wire.Condition_CONDITION_READY, false)
+	report(testNow+10, 2, wire.Condition_CONDITION_READY)
+	if s.HasNews() {
+		t.Error("a report that changes nothing is told at once")
+	}
+	report(testNow+20, 3, wire.Condition_CONDITION_DRAINING)
+	want(wire.Condition_CONDITION_DRAINING, false)
+	now := testNow + 20
+	for ; now < testNow+clock.Second && !s.HasNews(); now += 50 {
+		s.Tick(now)
+	}
+	want(wire.Condition_CONDITION_DRAINING, true)
+	report(now, 4, wire.Condition_CONDITION_GONE)
+	want(wire.Condition_CONDITION_GONE, false)
+	for i, at := range []clock.Millis{now + departedFor - 1, now + departedFor + 1} {
+		entries := s.Summary(at, 1, uint32(i+1), true)[0].Entries
+		if named := len(entries) == 1; named != (i == 0) {
+			t.Errorf("%d ms after it left, the target is named: %v", at.Sub(now), named)
+		}
+	}
+}
+
+// A failure domain has more targets than one frame takes, and a part of the summary of
+// all of them is lost. The receiver must not believe that it knows all.
+func TestCompleteNeedsAllParts(t *testing.T) {
+	const targets = 470
+	relay := NewSteerer(0, Settings{Domain: "b", Flows: 100, FlowLife: worldLife})
+	for i := range targets {
+		r := ready(1, 1)
+		r.Name, r.Domain = fmt.Sprintf("side-place-b-%d", i), "b"
+		relay.Hear(testNow, worldAddress(2, i), &wire.Parcel{Verb: wire.Verb_VERB_REPORT, Report: r}, nil)
+	}
+	const frame = 1400
+	s := NewSteerer(0, Settings{Domain: "a", Flows: 100, FlowLife: worldLife})
+	for number, lost := range []int{3, -1} {
+		for i, part := range relay.Summary(testNow, 1, uint32(number+1), true) {
+			if size := (&wire.Parcel{Verb: wire.Verb_VERB_SUMMARY, Summary: part}).SizeVT(); size > frame {
+				t.Errorf("a part takes %d bytes", size)
+			}
+			if i != lost {
+				s.HearSummary(testNow, part)
+			}
+		}
+		if got := s.Targets.Complete(testNow, "b"); got != (lost < 0) {
+			t.Errorf("complete %v without part %d", got, lost)
+		}
+	}
+	if got := s.Targets.Len(); got != targets {
+		t.Errorf("%d targets are known, want %d", got, targets)
+	}
+}
+
+// A failure domain is overloaded and its flows leave it. What is known of targets
+// elsewhere was gathered before the last flows were sent there: these count until a
+// summary that was made after them.
+func TestPlacedOutliveSummary(t *testing.T) {
+	s := summarized(t, 2)
+	table := s.Targets
+	for range 4 {
+		table.Choose(testNow, "one", nil)
+	}
+	s.HearSummary(testNow+10, changeOf(0, ready(1, 2), 0))
+	first, _ := table.Find(worldAddress(2, 0))
+	second, _ := table.Find(worldAddress(2, 1))
+	if a, b := table.cost(testNow+10, first, 0.1), table.cost(testNow+10, second, 0.1); a < b {
+		t.Errorf("the target just told of costs %.2f, the other one %.2f, with as many flows placed", a, b)
+	}
+	s.HearSummary(testNow+500, changeOf(0, ready(1, 3), 0))
+	if got := table.cost(testNow+500, first, 0.1); got != 0 {
+		t.Errorf("the flows placed before the last summary but one still cost %.2f", got)
+	}
+}
+
+// Anybody may send summaries, of ever new failure domains.
+func TestSummariesAreBounded(t *testing.T) {
+	s := NewSteerer(0, Settings{Domain: "a", Flows: 100, FlowLife: worldLife})
+	for i := range 3 * mostSummaries {
+		s.HearSummary(testNow, &wire.Summary{Domain: fmt.Sprint("d", i), Number: 1, Parts: 1})
+	}
+	if got := len(s.Targets.summaries); got > mostSummaries {
+		t.Errorf("%d failure domains are remembered", got)
+	}
+}
--- a/internal/connection/stream/target.go
+++ b/internal/connection/stream/target.go
@@ -70,18 +70,29 @@
 	ColdUntil clock.Millis
 	// Restarting tells that the agent announced its stop.
 	Restarting bool
-	// Heard is when the last report arrived; zero if none did.
+	// Heard is when the last report arrived, at this balancer or at the one that told
+	// of it; zero if none did.
 	Heard clock.Millis
 
-	// former is the agent's process before the present one.
+	// learned is when the target was named by another balancer.
+	learned clock.Millis
+	// told is when a summary of its failure domain last said that it answers, and
+	// doubted when one said that it does not, since the last report.
+	told    clock.Millis
+	doubted clock.Millis
+	// former is the agent's process before the present one. owed tells that the
+	// present one is to be asked about it.
 	former process
+	owed   bool
 	// probed is when the last probe was sent, waiting when the first one was
 	// that has no answer yet, and probe its number.
 	probed  clock.Millis
 	waiting clock.Millis
 	probe   uint64
-	// placed counts the openings that were sent since the last report.
-	placed int
+	// placed counts the openings that were sent since the last report, and earlier those
+	// of before that a report in a summary may not know of.
+	placed  int
+	earlier int
 	// noted tells that the target's suspicion was logged.
 	noted bool
 }
@@ -92,10 +103,10 @@
 	born  uint64
 }
 
-// Suspected reports that the target's agent leaves probes unanswered, or was
-// never heard.
+// Suspected reports that the target's agent leaves probes unanswered, of this balancer
+// or of one in the target's failure domain, or was never heard.
 func (t *Target) Suspected(now clock.Millis) bool {
-	return t.Heard == 0 || t.waiting != 0 && now.Sub(t.waiting) > suspectAfter
+	return t.Heard == 0 || t.doubted != 0 || t.waiting != 0 && now.Sub(t.waiting) > suspectAfter
 }
 
 // Lost reports that the target was silent for so long that its flows can no
@@ -129,14 +140,22 @@
 	wanted clock.Millis
 }
 
+// departure is the last report of a target that left.
+type departure struct {
+	at     clock.Millis
+	report *wire.Report
+}
+
 // Targets is all targets that a balancer knows, by their agents' addresses.
 type Targets struct {
 	domain string
 	known  map[netip.AddrPort]*Target
 	groups map[string]*group
-	left   map[netip.AddrPort]clock.Millis
+	left   map[netip.AddrPort]departure
 	number uint64
 	ticked clock.Millis
+	// summaries are the last ones of all targets of other failure domains.
+	summaries map[string]*summary
 	// sorted is the targets by address; nil after a change.
 	sorted []*Target
 }
@@ -145,7 +164,7 @@
 func NewTargets(domain string) *Targets {
 	return &Targets{
 		domain: domain, known: map[netip.AddrPort]*Target{}, groups: map[string]*group{},
-		left: map[netip.AddrPort]clock.Millis{},
+		left: map[netip.AddrPort]departure{}, summaries: map[string]*summary{},
 	}
 }
 
@@ -162,8 +181,8 @@
 
 // Left reports that a target has left a short while ago.
 func (ts *Targets) Left(now clock.Millis, a netip.AddrPort) bool {
-	at, ok := ts.left[a]
-	return ok && now.Sub(at) < tombFor
+	d, ok := ts.left[a]
+	return ok && now.Sub(d.at) < tombFor
 }
 
 // Sorted returns the targets in the order of their addresses. The result must not
@@ -229,7 +248,7 @@
 	if ts.Left(now, a) {
 		return false
 	}
-	ts.put(&Target{Address: a, Name: name, Domain: domain, Service: service})
+	ts.put(&Target{Address: a, Name: name, Domain: domain, Service: service, learned: now})
 	return true
 }
 
@@ -269,7 +288,7 @@
 	if r.Condition == wire.Condition_CONDITION_GONE {
 		c.Left = ok
 		if len(ts.left) < mostTargets {
-			ts.left[from] = now
+			ts.left[from] = departure{at: now, report: r}
 		}
 		return c
 	}
@@ -292,6 +311,10 @@
 func (t *Target) take(now clock.Millis, r *wire.Report) {
 	if t.Heard != 0 && t.Epoch != r.Epoch {
 		t.former = process{epoch: t.Epoch, born: t.Born}
+		t.owed = true
+	}
+	if r.Probe != 0 {
+		t.owed = false
 	}
 	t.Name, t.Domain, t.Service = r.Name, r.Domain, r.Service
 	t.Epoch, t.Sequence, t.Born = r.Epoch, r.Sequence, r.Born
@@ -300,6 +323,6 @@
 	t.ColdUntil = now + clock.Millis(r.Cold)
 	t.Restarting = r.Restarting
 	t.Heard = now
-	t.placed = 0
-	t.waiting = 0
+	t.placed, t.earlier = 0, 0
+	t.waiting, t.doubted = 0, 0
 }
--- a/internal/connection/stream/world_test.go
+++ b/internal/connection/stream/world_test.go
@@ -29,6 +29,8 @@
 	worldCopies = 3
 	worldTwice  = 0.01
 	worldLate   = 400
+	// worldSummary is the pause between two summaries of all targets.
+	worldSummary = 500 * clock.Millis(1)
 	// worldRequest is the size of a request.
 	worldRequest = 200
 )
@@ -90,6 +92,9 @@
 	up      bool
 	born    clock.Millis
 	knows   clock.Millis
+	// told is when the last summary of all targets was sent, and number its number.
+	told   clock.Millis
+	number uint32
 	troubled
 }
 
@@ -267,12 +272,42 @@
 		b.steerer.Tick(w.now)
 		w.settle(b)
 		w.flushBalancer(b)
+		w.summarize(b)
 		w.after(20, tick)
 	}
 	w.after(1, tick)
 	w.keeps(b)
 }
 
+// summarize stands in for the relays: each balancer tells those of other failure domains
+// of the targets of its own.
+func (w *world) summarize(b *worldBalancer) {
+	b.steerer.SetRelay(true)
+	var parts []*wire.Summary
+	switch {
+	case w.now.Sub(b.told) >= worldSummary:
+		b.told = w.now
+		b.number++
+		parts = b.steerer.Summary(w.now, uint64(b.born), b.number, false)
+	case b.steerer.HasNews():
+		parts = b.steerer.News()
+	}
+	for _, other := range w.balancers {
+		if other.domain == b.domain {
+			continue
+		}
+		for _, p := range parts {
+			p = copyParcel(&wire.Parcel{Summary: p}).Summary
+			w.network(b.address, other.address, func() {
+				if other.up {
+					other.steerer.HearSummary(w.now, p)
+					w.flushBalancer(other)
+				}
+			})
+		}
+	}
+}
+
 // settle stands in for the balancers' exchange: a balancer counts as settled
 // when it has known all running agents for a while.
 func (w *world) settle(b *worldBalancer) {
--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -32,6 +32,8 @@
 	Name    string         `json:"name"`
 	Address netip.AddrPort `json:"address"`
 	Domain  string         `json:"domain"`
+	// Share is its part of a core, in thousandths; zero when not known.
+	Share uint32 `json:"share,omitempty"`
 }
 
 // Directory reads and writes the entries.
@@ -83,24 +85,19 @@
 	return all, nil
 }
 
-// Balancers lists the addresses of the balancers of a failure domain, or of all
-// if it has none: the others hear from those.
-func (d *Directory) Balancers(ctx context.Context, domain string) ([]netip.AddrPort, error) {
+// Balancers lists the addresses of the balancers of a failure domain, and of all.
+func (d *Directory) Balancers(ctx context.Context, domain string) (near, all []netip.AddrPort, err error) {
 	entries, err := d.Entries(ctx)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	var near, all []netip.AddrPort
 	for _, e := range entries {
 		all = append(all, e.Address)
 		if e.Domain == domain {
 			near = append(near, e.Address)
 		}
 	}
-	if len(near) > 0 {
-		return near, nil
-	}
-	return all, nil
+	return near, all, nil
 }
 
 // Remove takes the entry of a lost balancer away, unless another process has
--- a/internal/process/parcels/parcels.go
+++ b/internal/process/parcels/parcels.go
@@ -71,8 +71,8 @@
 	return s.conn.LocalAddr().(*net.UDPAddr).AddrPort()
 }
 
-// Send sends one parcel.
-func (s *Socket) Send(to netip.AddrPort, p *wire.Parcel) error {
+// Send sends one parcel and returns its size.
+func (s *Socket) Send(to netip.AddrPort, p *wire.Parcel) (int, error) {
 	buffer := s.pool.Get().(*[]byte)
 	defer s.pool.Put(buffer)
 	size := p.SizeVT()
@@ -81,10 +81,10 @@
 	}
 	b := (*buffer)[:size]
 	if _, err := p.MarshalToSizedBufferVT(b); err != nil {
-		return errs.Wrap(err)
+		return size, errs.Wrap(err)
 	}
 	_, err := s.conn.WriteToUDPAddrPort(b, to)
-	return errs.Wrap(err)
+	return size, errs.Wrap(err)
 }
 
 // Serve hands each parcel, and the segment of its packet if it has one, to the
--- a/internal/process/streamagent/agent.go
+++ b/internal/process/streamagent/agent.go
@@ -22,7 +22,6 @@
 	"context"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -43,22 +42,27 @@
 	// tick is the pause between two looks at what is due: the time that a
 	// target has to return a packet is of this order.
 	tick = 50 * time.Millisecond
-	// tellLoaded is how often balancers that do not probe this target are told of it
-	// while its slots are in use, and tellFirst how often those that were never heard
-	// in the first seconds; else it is stream.ReportEvery.
+	// tellLoaded is how often balancers of the own failure domain are told of the target
+	// while its slots are in use, and tellFirst how often those there that were never
+	// heard in the first seconds; else it is stream.ReportEvery.
 	tellLoaded = 150 * clock.Millis(1)
 	tellFirst  = 50 * clock.Millis(1)
 	firstFor   = 4 * clock.Second
+	// nearFor is the silence after which no balancer of the own failure domain is there:
+	// they probe targets of services without flows every five seconds.
+	nearFor = 6 * clock.Second
 	// knownFor is how long a balancer that was heard is told of changes.
 	knownFor = 60 * clock.Second
+	// keeperFor is the silence after which no balancer is there that keeps checkpoints.
+	keeperFor = 2 * clock.Second
 	// findEvery is how often the directory is asked for balancers while none
 	// probes this target.
 	findEvery = 5 * clock.Second
 )
 
-// Finder finds balancers to report to, those of a failure domain if there are some.
+// Finder finds balancers to report to: those of a failure domain, and all.
 type Finder interface {
-	Balancers(ctx context.Context, domain string) ([]netip.AddrPort, error)
+	Balancers(ctx context.Context, domain string) (near, all []netip.AddrPort, err error)
 }
 
 // Settings are what an agent is told at start.
@@ -120,11 +124,19 @@
 	holder    *stream.Holder
 	record    *decisions.Recorder
 	balancers map[netip.AddrPort]*balancer
-	probed    clock.Millis
-	started   clock.Millis
+	// probed is when a balancer has probed last, near when one of the own failure domain
+	// has, and kept when one that keeps checkpoints has; zero if none did.
+	probed  clock.Millis
+	near    clock.Millis
+	kept    clock.Millis
+	started clock.Millis
+
+	// readable wakes the part that reads what an earlier process has kept.
+	readable chan struct{}
 
 	malformed *decisions.Malformed
 	unsent    tally.Counter
+	traffic   *parcels.Traffic
 	served    tally.Histogram
 	cancel    context.CancelFunc
 	parts     tasks.Group
@@ -137,6 +149,10 @@
 	met   bool
 	heard clock.Millis
 	told  clock.Millis
+	// domain is its failure domain, once it has probed; empty before.
+	domain string
+	// pause is the last one before it was told, while it was never heard.
+	pause clock.Millis
 }
 
 // Start opens the sockets and begins to serve.
@@ -144,9 +160,11 @@
 	now := deps.Clock.Now()
 	a := &Agent{
 		settings: settings, deps: deps, balancers: map[netip.AddrPort]*balancer{}, started: now,
+		readable:  make(chan struct{}, 1),
 		record:    decisions.NewRecorder(deps.Log, deps.Scope),
 		malformed: decisions.NewMalformed(deps.Log, deps.Scope), unsent: deps.Scope.Counter("unsent"),
-		served: deps.Scope.Histogram("served", decisions.Buckets),
+		traffic: parcels.NewTraffic(deps.Log, deps.Scope),
+		served:  deps.Scope.Histogram("served", decisions.Buckets),
 	}
 	a.holder = stream.NewHolder(now, stream.HolderSettings{
 		Name: settings.Name, Domain: settings.Domain, Service: settings.Service,
@@ -154,7 +172,7 @@
 		FlowLife: settings.FlowLife, Heartbeat: settings.Heartbeat, SilentAfter: missedBeats * settings.Heartbeat,
 		Checkpoint: deps.Checkpoints != nil,
 	})
-	a.SetSeeds(settings.Seeds)
+	a.learn(settings.Seeds, "")
 	var err error
 	if a.parcels, err = parcels.Listen(settings.Parcels, a.deps.Codec, a.unreadable); err != nil {
 		return nil, err
@@ -180,14 +198,24 @@
 func (a *Agent) SetSeeds(seeds []netip.AddrPort) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.learn(seeds, "")
+}
+
+// learn adds balancers of a failure domain, or with an empty one of any.
+func (a *Agent) learn(balancers []netip.AddrPort, domain string) {
 	now := a.deps.Clock.Now()
-	for _, s := range seeds {
-		if a.balancers[s] != nil {
-			continue
-		}
-		if b := a.balancer(s); b != nil {
+	for _, at := range balancers {
+		b := a.balancers[at]
+		if b == nil {
+			b = a.balancer(at)
+			if b == nil {
+				return
+			}
 			b.heard = now
 		}
+		if b.domain == "" {
+			b.domain = domain
+		}
 	}
 }
 
@@ -213,14 +241,33 @@
 	now := a.deps.Clock.Now()
 	if b := a.balancer(from); b != nil {
 		b.met, b.heard = true, now
-		if p.Verb == wire.Verb_VERB_PROBE {
-			b.told, a.probed = now, now
+		if p.Verb == wire.Verb_VERB_PROBE && p.Report != nil {
+			a.probe(now, b, p.Report)
 		}
 	}
 	a.holder.Hear(now, from, p, seg)
 	a.flush()
 }
 
+// probe notes that a balancer has probed. One that keeps checkpoints reaches the
+// platform, so what was kept can be read.
+func (a *Agent) probe(now clock.Millis, b *balancer, r *wire.Report) {
+	b.domain, b.told, a.probed = r.Domain, now, now
+	if r.Domain == a.settings.Domain {
+		a.near = now
+	}
+	if !r.Keeper {
+		return
+	}
+	if now.Sub(a.kept) > keeperFor {
+		select {
+		case a.readable <- struct{}{}:
+		default:
+		}
+	}
+	a.kept = now
+}
+
 // serveTarget takes the packets of the target.
 func (a *Agent) serveTarget() {
 	unreadable := func(from netip.AddrPort, err error) { a.malformed.Note("outbound", from, err) }
@@ -251,9 +298,7 @@
 		if s.Parcel.Verb == wire.Verb_VERB_RETURN {
 			a.deps.Codec.Mark(s.Parcel.Packet, 0)
 		}
-		if err := a.parcels.Send(s.To, s.Parcel); err != nil {
-			a.unsent.Inc(1)
-		}
+		a.send(s.To, s.Parcel)
 	}
 	for _, r := range out.Resets {
 		a.write(a.deps.Codec.Reset(r.Flow, r.Seq), a.caller(r.Flow.Caller.Addr()))
@@ -264,6 +309,16 @@
 	a.record.Record(out.Events)
 }
 
+func (a *Agent) send(to netip.AddrPort, p *wire.Parcel) {
+	size, err := a.parcels.Send(to, p)
+	if err != nil {
+		a.unsent.Inc(1)
+		return
+	}
+	b := a.balancers[to]
+	a.traffic.Sent(p.Verb, b == nil || b.domain != a.settings.Domain, size)
+}
+
 func (a *Agent) answer(packet []byte) {
 	seg, err := a.deps.Codec.Decode(packet)
 	if err != nil {
@@ -304,42 +359,6 @@
 	a.flush()
 }
 
-// tellPause is the pause between two reports to a balancer that does not ask for
-// them. One that was never heard may be starting while callers wait.
-//
-// Balancers elsewhere go by loads that are up to a second old and would all choose the
-// target that had room then. So one whose slots are in use tells its load about as often
-// as balancers near by ask for it.
-func tellPause(unheard, loaded bool) clock.Millis {
-	switch {
-	case unheard:
-		return tellFirst
-	case loaded:
-		return tellLoaded
-	default:
-		return stream.ReportEvery
-	}
-}
-
-// tell reports to all balancers, or to those that have not probed for a while.
-func (a *Agent) tell(now clock.Millis, all bool) {
-	first := now.Sub(a.started) < firstFor
-	loaded := a.holder.Loaded()
-	var to []netip.AddrPort
-	for address, b := range a.balancers {
-		if now.Sub(b.heard) > knownFor && len(a.balancers) > 1 {
-			delete(a.balancers, address)
-			continue
-		}
-		if all || now.Sub(b.told) >= tellPause(first && !b.met, loaded) {
-			b.told = now
-			to = append(to, address)
-		}
-	}
-	slices.SortFunc(to, netip.AddrPort.Compare)
-	a.holder.Tell(now, to)
-}
-
 func (a *Agent) ticks(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -356,6 +375,7 @@
 		a.tell(now, false)
 		doubts := a.holder.Doubts(now)
 		a.flush()
+		a.traffic.Tell(now, false)
 		a.mu.Unlock()
 		if doubts {
 			a.look(ctx)
@@ -382,6 +402,7 @@
 	a.holder.Stop(now)
 	a.tell(now, true)
 	a.flush()
+	a.traffic.Tell(now, true)
 	left, flows := a.holder.Gone(), a.holder.Flows()
 	a.mu.Unlock()
 	a.deps.Log.Info().Str("event", "stop").Bool("left", left).Int("flows", flows).Msg("agent stopped")
--- a/internal/process/streamagent/look.go
+++ b/internal/process/streamagent/look.go
@@ -62,10 +62,15 @@
 }
 
 func (a *Agent) find(ctx context.Context) {
-	found, err := a.deps.Finder.Balancers(ctx, a.settings.Domain)
+	near, all, err := a.deps.Finder.Balancers(ctx, a.settings.Domain)
 	if err != nil {
 		a.deps.Log.Warn().Str("event", "nodirectory").Err(err).Msg("balancers cannot be looked up")
 		return
 	}
-	a.SetSeeds(found)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.learn(near, a.settings.Domain)
+	if len(near) == 0 || a.alone(a.deps.Clock.Now()) {
+		a.learn(all, "")
+	}
 }
--- a/internal/process/streamagent/restore.go
+++ b/internal/process/streamagent/restore.go
@@ -18,6 +18,9 @@
 	// firstReread and lastReread are the pauses between calls that read, doubling.
 	firstReread = 100 * time.Millisecond
 	lastReread  = 2 * time.Second
+	// spreadReads is over how long the agents of a failure domain read that are told at
+	// the same time that the platform answers.
+	spreadReads = 50 * time.Millisecond
 )
 
 // Checkpoints is where the flows of targets are kept.
@@ -26,8 +29,9 @@
 	Entry(ctx context.Context, agent netip.AddrPort) (checkpoint.Entry, error)
 }
 
-// restores reads what an earlier process has left. It gives up once the flows in it
-// are older than a flow may be.
+// restores reads what an earlier process has left: again and again while the platform
+// does not answer, and once a balancer says that it does. It gives up when the flows in
+// it are older than a flow may be.
 func (a *Agent) restores(ctx context.Context) {
 	pause := firstReread
 	for ctx.Err() == nil && a.deps.Clock.Now().Sub(a.started) < a.settings.FlowLife {
@@ -36,6 +40,8 @@
 		}
 		select {
 		case <-ctx.Done():
+		case <-a.readable:
+			time.Sleep(rand.N(spreadReads))
 		case <-time.After(pause/2 + rand.N(pause/2)):
 		}
 		pause = min(2*pause, lastReread)
--- a/internal/process/streambalancer/agreement.go
+++ b/internal/process/streambalancer/agreement.go
@@ -18,42 +18,63 @@
 	// between failure domains.
 	vouchedStart = 700 * clock.Millis(1)
 	aloneStart   = 2*stream.ReportEvery + 200*clock.Millis(1)
+	// unheardStart is how long if a failure domain has no balancer that tells of its
+	// targets: agents there notice that none asks them, look up the others and report
+	// twice.
+	unheardStart = 12 * clock.Second
 	// askEvery is the least pause between two questions to one balancer about
-	// the targets that it knows and this one does not. A new target is told at
-	// once; the question repairs what was lost.
+	// the targets that it knows and this one does not, and askPause between questions to
+	// any. A new target is told at once; the question repairs what was lost.
 	askEvery = 500 * clock.Millis(1)
+	askPause = 150 * clock.Millis(1)
+	// mostCovered bounds the digests that are remembered.
+	mostCovered = 256
 )
 
 // Ask reports whether a balancer that knows other targets than this one is to be
 // asked for them now, and notes that it is.
 func (ps *Peers) Ask(now clock.Millis, a netip.AddrPort, digest uint64) bool {
 	p := ps.known[a]
-	if p == nil || p.covered == digest || now.Sub(p.asked) < askEvery {
+	return p != nil && !ps.covers(digest) && ps.mayAsk(now, p)
+}
+
+// mayAsk reports whether it is time to ask a balancer for contacts, and notes that it is
+// asked.
+func (ps *Peers) mayAsk(now clock.Millis, p *Peer) bool {
+	if now.Sub(p.asked) < askEvery || now.Sub(ps.asked) < askPause {
 		return false
 	}
-	p.asked = now
+	p.asked, ps.asked = now, now
 	return true
 }
 
-// Covered notes that this balancer knows all that another one does at a digest.
-func (ps *Peers) Covered(a netip.AddrPort, digest uint64) {
-	if p := ps.known[a]; p != nil {
-		p.covered = digest
+// Covered notes that this balancer knows all that others do at a digest.
+func (ps *Peers) Covered(now clock.Millis, digest uint64) {
+	if len(ps.covered) >= mostCovered {
+		clear(ps.covered)
 	}
+	ps.covered[digest] = now
+}
+
+func (ps *Peers) covers(digest uint64) bool {
+	_, ok := ps.covered[digest]
+	return ok
 }
 
 // Settled reports that this balancer has known all targets that its neighbours
 // know for long enough to have been told of any new one. digest is a hash over
-// those that this one hears.
+// those that this one hears, and complete tells of which failure domains a balancer that
+// knows all targets there has told this one.
 //
 // Balancers that started together agree at once, although none has heard all agents
 // yet: one that has run for long reports once a second to those that do not probe
 // it. So the agreement counts only after a settled balancer has told its targets, or
-// after every agent has reported.
-func (ps *Peers) Settled(now clock.Millis, digest uint64) bool {
+// after every agent of the own failure domain has reported, and relays of the others that
+// have heard every agent there have told of them.
+func (ps *Peers) Settled(now clock.Millis, digest uint64, complete func(domain string) bool) bool {
 	ps.vouched = ps.vouched || ps.vouch(now, digest)
 	for _, p := range ps.Neighbours(now) {
-		if p.Digest != digest && p.Digest != p.covered {
+		if p.Digest != digest && !ps.covers(p.Digest) {
 			ps.agreed = 0
 			return false
 		}
@@ -61,18 +82,33 @@
 	if ps.agreed == 0 {
 		ps.agreed = now
 	}
-	start := aloneStart
+	return now.Sub(ps.agreed) > settleTime && now.Sub(ps.started) > ps.start(complete)
+}
+
+// start is for how long after its start this balancer may not have heard of everybody.
+func (ps *Peers) start(complete func(domain string) bool) clock.Millis {
 	if ps.vouched {
-		start = vouchedStart
+		return vouchedStart
+	}
+	for _, d := range ps.Elsewhere() {
+		if !complete(d) {
+			return unheardStart
+		}
 	}
-	return now.Sub(ps.agreed) > settleTime && now.Sub(ps.started) > start
+	return aloneStart
+}
+
+// HeardNear reports that this balancer knows all targets of its own failure domain:
+// every agent there has reported to it, or a settled balancer has told it.
+func (ps *Peers) HeardNear(now clock.Millis) bool {
+	return ps.vouched || now.Sub(ps.started) > aloneStart
 }
 
 // vouch reports that a settled balancer, be it one that leaves, knows no target
 // that this one does not.
 func (ps *Peers) vouch(now clock.Millis, digest uint64) bool {
 	for _, p := range ps.known {
-		known := p.Digest == digest || p.Digest == p.covered
+		known := p.Digest == digest || ps.covers(p.Digest)
 		if p.Settled && known && now.Sub(p.Heard) <= peerLive {
 			return true
 		}
--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -55,6 +55,8 @@
 	// a search is under way, whose first stage lasts 15 ms.
 	tick       = 50 * time.Millisecond
 	searchTick = 10 * time.Millisecond
+	// lateNoted is by how much a look at what is due must be late to be noted.
+	lateNoted = 100 * clock.Millis(1)
 	// mostFlows bounds the flows that are remembered, some 400 bytes each. At the size
 	// of two years from now a balancer sees 16,000.
 	mostFlows = 65536
@@ -81,6 +83,9 @@
 type Settings struct {
 	Name   string
 	Domain string
+	// Share is the process's part of a core, in thousandths; zero when not known. Those
+	// with more take duties first.
+	Share uint32
 	// Edge takes callers' packets.
 	Edge netip.AddrPort
 	// Parcels is where other processes reach this one, over UDP and TCP.
@@ -114,6 +119,8 @@
 	deps     Deps
 	edge     *net.UDPConn
 	parcels  *parcels.Socket
+	link     link
+	callers  writer
 	calls    net.Listener
 
 	mu      sync.Mutex
@@ -128,6 +135,7 @@
 	// announced is when they were told of some last.
 	unannounced []*wire.Contact
 	announced   clock.Millis
+	relaying    relaying
 	// settled tells that this balancer knows all targets that others do.
 	settled bool
 	// watching tells that the last call of the watch was answered.
@@ -135,6 +143,8 @@
 	// seen is up to which revision the platform's changes were seen; only configure
 	// uses it.
 	seen uint64
+	// stepped is when what was due was looked at last.
+	stepped clock.Millis
 	// keeper collects the checkpoints of the failure domain.
 	keeper *checkpoint.Keeper
 	// keeping tells that this balancer writes them; only keeps uses it.
@@ -142,6 +152,7 @@
 
 	malformed *decisions.Malformed
 	unsent    tally.Counter
+	traffic   *parcels.Traffic
 	forwarded tally.Counter
 	// updated wakes the loop that reads the platform.
 	updated chan struct{}
@@ -149,22 +160,20 @@
 	parts   tasks.Group
 }
 
+// link sends parcels.
+type link interface {
+	// Send returns the size of what it sent.
+	Send(to netip.AddrPort, p *wire.Parcel) (int, error)
+}
+
+// writer sends packets to callers.
+type writer interface {
+	WriteToUDPAddrPort(packet []byte, to netip.AddrPort) (int, error)
+}
+
 // Start opens the sockets, joins the others and begins to serve.
 func Start(settings Settings, deps Deps) (*Balancer, error) {
-	b := &Balancer{
-		settings: settings, deps: deps,
-		steerer: stream.NewSteerer(deps.Clock.Now(), stream.Settings{
-			Domain: settings.Domain, Flows: mostFlows, FlowLife: settings.FlowLife,
-		}),
-		record:    decisions.NewRecorder(deps.Log, deps.Scope),
-		malformed: decisions.NewMalformed(deps.Log, deps.Scope), unsent: deps.Scope.Counter("unsent"),
-		forwarded: deps.Scope.Counter("packets"), updated: make(chan struct{}, 1),
-	}
-	b.keeper = checkpoint.NewKeeper(settings.Checkpoint)
-	b.peers = NewPeers(deps.Clock.Now(), Peer{
-		Address: settings.Parcels, Name: settings.Name, Domain: settings.Domain,
-		Epoch: uint64(time.Now().UnixMilli()),
-	}, settings.Seeds)
+	b := newBalancer(settings, deps, uint64(time.Now().UnixMilli()))
 	if err := b.listen(); err != nil {
 		return nil, err
 	}
@@ -184,6 +193,25 @@
 	return b, nil
 }
 
+// newBalancer returns a balancer without sockets.
+func newBalancer(settings Settings, deps Deps, epoch uint64) *Balancer {
+	b := &Balancer{
+		settings: settings, deps: deps,
+		steerer: stream.NewSteerer(deps.Clock.Now(), stream.Settings{
+			Domain: settings.Domain, Flows: mostFlows, FlowLife: settings.FlowLife,
+		}),
+		record:    decisions.NewRecorder(deps.Log, deps.Scope),
+		malformed: decisions.NewMalformed(deps.Log, deps.Scope), unsent: deps.Scope.Counter("unsent"),
+		traffic:   parcels.NewTraffic(deps.Log, deps.Scope),
+		forwarded: deps.Scope.Counter("packets"), updated: make(chan struct{}, 1),
+	}
+	b.keeper = checkpoint.NewKeeper(settings.Checkpoint)
+	b.peers = NewPeers(deps.Clock.Now(), Peer{
+		Address: settings.Parcels, Name: settings.Name, Domain: settings.Domain, Share: settings.Share, Epoch: epoch,
+	}, settings.Seeds)
+	return b
+}
+
 func (b *Balancer) listen() error {
 	var err error
 	if b.edge, err = parcels.ListenUDP(b.settings.Edge); err != nil {
@@ -192,6 +220,7 @@
 	if b.parcels, err = parcels.Listen(b.settings.Parcels, b.deps.Codec, b.unreadable); err != nil {
 		return errs.Combine(err, b.edge.Close())
 	}
+	b.link, b.callers = b.parcels, b.edge
 	if b.calls, err = net.ListenTCP("tcp4", net.TCPAddrFromAddrPort(b.settings.Parcels)); err != nil {
 		return errs.Combine(errs.Wrap(err), b.edge.Close(), b.parcels.Close())
 	}
@@ -239,6 +268,8 @@
 		}
 	case wire.Verb_VERB_KEEP:
 		b.takeCheckpoint(from, p.Checkpoint)
+	case wire.Verb_VERB_SUMMARY:
+		b.hearSummary(now, from, p.Summary)
 	default:
 		if t, added := b.steerer.Hear(now, from, p, seg); added {
 			b.announce(now, t)
@@ -260,7 +291,7 @@
 	for _, r := range out.Resets {
 		packet := b.deps.Codec.Reset(r.Flow, r.Seq)
 		to := netip.AddrPortFrom(r.Flow.Caller.Addr(), b.settings.Edge.Port())
-		if _, err := b.edge.WriteToUDPAddrPort(packet, to); err != nil {
+		if _, err := b.callers.WriteToUDPAddrPort(packet, to); err != nil {
 			b.unsent.Inc(1)
 		}
 	}
@@ -268,9 +299,21 @@
 }
 
 func (b *Balancer) send(to netip.AddrPort, p *wire.Parcel) {
-	if err := b.parcels.Send(to, p); err != nil {
+	size, err := b.link.Send(to, p)
+	if err != nil {
 		b.unsent.Inc(1)
+		return
 	}
+	b.traffic.Sent(p.Verb, b.domain(to) != b.settings.Domain, size)
+}
+
+// domain returns the failure domain of an agent or a balancer, or nothing if that is not
+// known.
+func (b *Balancer) domain(at netip.AddrPort) string {
+	if t, ok := b.steerer.Targets.Find(at); ok {
+		return t.Domain
+	}
+	return b.peers.Domain(at)
 }
 
 func (b *Balancer) ticks(ctx context.Context) {
@@ -282,20 +325,50 @@
 			return
 		case <-timer.C:
 		}
-		b.mu.Lock()
-		now := b.deps.Clock.Now()
-		b.steerer.Tick(now)
-		b.flush()
-		b.tellNews(now)
-		pause := tick
-		if b.steerer.Searches() > 0 {
-			pause = searchTick
-		}
-		b.mu.Unlock()
-		timer.Reset(pause)
+		timer.Reset(b.step())
 	}
 }
 
+// step does what is due and returns the pause until the next look.
+func (b *Balancer) step() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.deps.Clock.Now()
+	b.noteLate(now)
+	b.steerer.Tick(now)
+	b.flush()
+	b.tellNews(now)
+	b.tellSummaries(now)
+	if b.traffic.Tell(now, false) {
+		b.noteTargets(now)
+	}
+	if b.steerer.Searches() > 0 {
+		return searchTick
+	}
+	return tick
+}
+
+// noteLate notes that this process stood still, or is short of processor time.
+func (b *Balancer) noteLate(now clock.Millis) {
+	late := now.Sub(b.stepped) - clock.Of(tick)
+	if b.stepped != 0 && late > lateNoted {
+		b.deps.Scope.Timer("late").Record(late.Duration())
+		b.deps.Log.Warn().Str("event", "late").Int64("age", int64(late)).Int("searches", b.steerer.Searches()).Send()
+	}
+	b.stepped = now
+}
+
+// noteTargets tells what this balancer knows of the targets, and how old that is for those
+// of other failure domains.
+func (b *Balancer) noteTargets(now clock.Millis) {
+	answering, all := b.steerer.Targets.Answering(now)
+	far, age := b.steerer.Targets.FarAge(now)
+	b.deps.Scope.Gauge("targets").Update(float64(all))
+	b.deps.Scope.Gauge("targets_far_age_ms").Update(float64(age))
+	b.deps.Log.Info().Str("event", "targets").Int("answering", answering).Int("all", all).Int("far", far).
+		Int64("age", int64(age)).Int("flows", b.steerer.Flows()).Int("searches", b.steerer.Searches()).Send()
+}
+
 // Ready says why the balancer is not ready, or nothing.
 //
 // A balancer that reaches no target while it knows some is cut off from them. It
@@ -323,6 +396,7 @@
 func (b *Balancer) Stop() {
 	b.mu.Lock()
 	b.leaving = true
+	b.peers.Leave()
 	now := b.deps.Clock.Now()
 	b.leave(now)
 	flows := b.steerer.Flows()
@@ -330,7 +404,9 @@
 	b.deps.Log.Info().Str("event", "stop").Int("flows", flows).Msg("balancer stops")
 	time.Sleep(b.settings.Linger.Duration())
 	b.mu.Lock()
-	b.leave(b.deps.Clock.Now())
+	now = b.deps.Clock.Now()
+	b.leave(now)
+	b.traffic.Tell(now, true)
 	b.mu.Unlock()
 	b.cancel()
 	err := errs.Combine(errs.Wrap(b.edge.Close()), b.parcels.Close(), errs.Wrap(b.calls.Close()))
--- a/internal/process/streambalancer/calls.go
+++ b/internal/process/streambalancer/calls.go
@@ -83,8 +83,8 @@
 }
 
 // fetch gets a version above the given one from a peer.
-func fetch(ctx context.Context, from netip.AddrPort, above uint64) (*routing.Table, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+func fetch(ctx context.Context, from netip.AddrPort, above uint64, patience time.Duration) (*routing.Table, error) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", from.String())
 	if err != nil {
--- a/internal/process/streambalancer/configure.go
+++ b/internal/process/streambalancer/configure.go
@@ -14,6 +14,9 @@
 	// callTimeout bounds a call to a peer or to the platform, which answer in
 	// milliseconds. A slow platform answers in a few hundred.
 	callTimeout = 1500 * time.Millisecond
+	// firstFetch bounds a call to a peer while there is no configuration yet: callers
+	// wait, and another peer or the platform may answer sooner.
+	firstFetch = 400 * time.Millisecond
 	// firstRead bounds a first call for the configuration, together with as much
 	// again at random. A platform that is away may hold calls without an answer;
 	// balancers that give up at different times find its return soon, and one
@@ -80,7 +83,11 @@
 	b.mu.Unlock()
 	switch {
 	case later:
-		t, err := fetch(ctx, peer.Address, version)
+		patience := callTimeout
+		if table == nil {
+			patience = firstFetch
+		}
+		t, err := fetch(ctx, peer.Address, version, patience)
 		if err != nil {
 			b.mu.Lock()
 			b.peers.Failed(b.deps.Clock.Now(), peer.Address)
@@ -170,7 +177,9 @@
 // meanwhile, after a minute of silence, is missed until the next start; others
 // still tell of this balancer.
 func (b *Balancer) register(ctx context.Context) {
-	entry := directory.Entry{Name: b.settings.Name, Address: b.settings.Parcels, Domain: b.settings.Domain}
+	entry := directory.Entry{
+		Name: b.settings.Name, Address: b.settings.Parcels, Domain: b.settings.Domain, Share: b.settings.Share,
+	}
 	for !b.registered(ctx, entry) {
 		select {
 		case <-ctx.Done():
@@ -204,6 +213,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, e := range entries {
-		b.peers.Learn(b.deps.Clock.Now(), e.Address, e.Name, e.Domain)
+		b.peers.Learn(b.deps.Clock.Now(), e.Address, Peer{Name: e.Name, Domain: e.Domain, Share: e.Share})
 	}
 }
--- a/internal/process/streambalancer/neighbours.go
+++ b/internal/process/streambalancer/neighbours.go
@@ -1,10 +1,9 @@
 package streambalancer
 
 import (
+	"cmp"
 	"slices"
 
-	"github.com/zeebo/xxh3"
-
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
 )
 
@@ -28,12 +27,20 @@
 	// goes on to its own neighbours.
 	nearNeighbours = 16
 	farNeighbours  = 4
+	// refreshEvery is how long a choice of neighbours holds while none comes or goes.
+	// Silence is noticed that much later.
+	refreshEvery = 100 * clock.Millis(1)
 )
 
 // Neighbours returns the balancers that are told regularly: the first by
-// rendezvous with this one that answer. A balancer among hundreds thus has a few
-// neighbours, and all together form one mesh.
+// rendezvous with this one that answer, and the relays that this one has to do with. A
+// balancer among hundreds thus has a few neighbours, and all together form one mesh.
+//
+// The result must not be changed.
 func (ps *Peers) Neighbours(now clock.Millis) []*Peer {
+	if ps.refreshed != 0 && now.Sub(ps.refreshed) < refreshEvery {
+		return ps.neighbours
+	}
 	var near, far []*Peer
 	for _, p := range ps.Sorted() {
 		switch {
@@ -44,36 +51,36 @@
 			far = append(far, p)
 		}
 	}
-	return append(ps.choose(now, near, nearNeighbours), ps.choose(now, far, farNeighbours)...)
-}
-
-// choose keeps the first peers by rendezvous and notes since when they are
-// neighbours.
-func (ps *Peers) choose(now clock.Millis, peers []*Peer, most int) []*Peer {
-	slices.SortStableFunc(peers, func(a, b *Peer) int {
-		x, y := ps.score(a), ps.score(b)
-		switch {
-		case x > y:
-			return -1
-		case x < y:
-			return 1
-		default:
-			return 0
+	chosen := append(first(near, nearNeighbours), first(far, farNeighbours)...)
+	for _, p := range ps.relayed(now) {
+		if !p.Leaving && !p.silent(now) && !slices.Contains(chosen, p) {
+			chosen = append(chosen, p)
 		}
-	})
-	for i, p := range peers {
-		switch {
-		case i >= most:
-			p.chosen = 0
-		case p.chosen == 0:
-			p.chosen = now
+	}
+	for _, p := range ps.Sorted() {
+		// One that has fallen silent stays chosen, or it would no longer count as silent.
+		if !p.Leaving && !p.silent(now) {
+			p.choose(now, slices.Contains(chosen, p))
 		}
 	}
+	ps.neighbours, ps.refreshed = chosen, now
+	return chosen
+}
+
+// first returns the first peers by rendezvous.
+func first(peers []*Peer, most int) []*Peer {
+	slices.SortStableFunc(peers, func(a, b *Peer) int { return cmp.Compare(b.score, a.score) })
 	return peers[:min(len(peers), most)]
 }
 
-func (ps *Peers) score(p *Peer) uint64 {
-	return xxh3.HashString(ps.self.Name + " " + p.Name)
+// choose notes since when the peer is a neighbour.
+func (p *Peer) choose(now clock.Millis, chosen bool) {
+	switch {
+	case !chosen:
+		p.chosen = 0
+	case p.chosen == 0:
+		p.chosen = now
+	}
 }
 
 // Due returns the peers to tell now, and notes that they are told.
@@ -81,7 +88,7 @@
 	ps.Neighbours(now)
 	var due []*Peer
 	for _, p := range ps.Sorted() {
-		if now.Sub(p.told) >= ps.pause(now, p) {
+		if now.Sub(max(p.told, ps.since(p))) >= ps.pause(now, p) {
 			p.told = now
 			due = append(due, p)
 		}
@@ -89,11 +96,32 @@
 	return due
 }
 
+// since is from when on the pause until a peer is told counts: for one that is not
+// greeted at once, from when it was learned.
+func (ps *Peers) since(p *Peer) clock.Millis {
+	if p.Heard != 0 || ps.greets(p) {
+		return 0
+	}
+	return p.learned
+}
+
+// greets reports that a balancer that was never heard is to be told at once that this
+// one is there: those of the own failure domain, relays of others, and those of which
+// only the address is known. The others hear of it from them.
+//
+// Among hundreds that return together a word from each to each would keep the smallest
+// ones busy while callers wait.
+func (ps *Peers) greets(p *Peer) bool {
+	return p.Heard == 0 && (p.Domain == "" || p.Domain == ps.self.Domain || p.relay)
+}
+
 func (ps *Peers) pause(now clock.Millis, p *Peer) clock.Millis {
 	choseUs := p.Chose && now.Sub(p.Heard) <= peerLive
 	switch {
-	case p.Heard == 0 && now.Sub(ps.started) < firstFor:
+	case ps.greets(p) && now.Sub(ps.started) < firstFor:
 		return firstNews
+	case p.Heard == 0 && !ps.greets(p):
+		return strangerNews
 	case p.Leaving || p.silent(now):
 		return silentNews
 	case p.chosen == 0 && !choseUs:
--- a/internal/process/streambalancer/news.go
+++ b/internal/process/streambalancer/news.go
@@ -28,7 +28,7 @@
 func (b *Balancer) news() *wire.News {
 	self := &b.peers.self
 	return &wire.News{
-		Self:  contact(self.Address, self.Name, self.Domain, ""),
+		Self:  peerContact(self),
 		Epoch: self.Epoch, Digest: b.digest(), Watching: b.watching, Leaving: b.leaving, Settled: b.settled,
 		Version: b.version(),
 	}
@@ -38,6 +38,12 @@
 	return &wire.Contact{Address: segment.AppendAddress(nil, a), Name: name, Domain: domain, Service: service}
 }
 
+func peerContact(p *Peer) *wire.Contact {
+	c := contact(p.Address, p.Name, p.Domain, "")
+	c.Share = p.Share
+	return c
+}
+
 // contacts is the targets and balancers that answer this one itself. Hearsay is
 // not told on, or a lost process would be told around for ever.
 func (b *Balancer) contacts(each func(a netip.AddrPort, c func() *wire.Contact)) {
@@ -49,11 +55,11 @@
 	})
 	b.peers.Each(func(p *Peer) {
 		if p.Live(now) {
-			each(p.Address, func() *wire.Contact { return contact(p.Address, p.Name, p.Domain, "") })
+			each(p.Address, func() *wire.Contact { return peerContact(p) })
 		}
 	})
 	self := &b.peers.self
-	each(self.Address, func() *wire.Contact { return contact(self.Address, self.Name, self.Domain, "") })
+	each(self.Address, func() *wire.Contact { return peerContact(self) })
 }
 
 // hash stands for a contact where balancers compare whom they know.
@@ -83,11 +89,13 @@
 		b.tellAll(now)
 	}
 	b.tellAnnounced(now)
-	b.setSettled(b.peers.Settled(now, digest))
+	b.setSettled(b.peers.Settled(now, digest, func(domain string) bool {
+		return b.steerer.Targets.Complete(now, domain)
+	}))
 	for _, p := range b.peers.Due(now) {
 		n := b.news()
 		n.Chose = p.chosen != 0
-		if p.Heard == 0 {
+		if p.Heard == 0 && b.peers.mayAsk(now, p) {
 			b.question(n)
 		}
 		b.send(p.Address, &wire.Parcel{Verb: wire.Verb_VERB_NEWS, News: n})
@@ -131,11 +139,12 @@
 	}
 }
 
-// announce tells all neighbours of a target that has just been heard. Several in
-// quick succession are told together.
+// announce tells of a target that has just been heard. Several in quick succession are
+// told together.
 //
 // When all VMs start at once, a datagram for each target and neighbour would take a small
-// balancer's time while callers wait.
+// balancer's time while callers wait, and every balancer of a failure domain hears the
+// same targets. So only relays tell their neighbours, and the others tell the relays.
 func (b *Balancer) announce(now clock.Millis, t *stream.Target) {
 	b.unannounced = append(b.unannounced, contact(t.Address, t.Name, t.Domain, t.Service))
 	b.tellAnnounced(now)
@@ -151,7 +160,7 @@
 	n.Chose = true
 	for all := range slices.Chunk(b.unannounced, contactsPerParcel) {
 		n.Contacts = all
-		for _, p := range b.peers.Neighbours(now) {
+		for _, p := range b.peers.Announces(now) {
 			b.send(p.Address, &wire.Parcel{Verb: wire.Verb_VERB_NEWS, News: n})
 		}
 	}
@@ -164,12 +173,12 @@
 		return
 	}
 	fresh := b.peers.Hear(now, Peer{
-		Address: from, Name: n.Self.Name, Domain: n.Self.Domain, Epoch: n.Epoch, Version: n.Version,
+		Address: from, Name: n.Self.Name, Domain: n.Self.Domain, Share: n.Self.Share, Epoch: n.Epoch, Version: n.Version,
 		Watching: n.Watching, Leaving: n.Leaving, Settled: n.Settled, Digest: n.Digest, Chose: n.Chose,
 	})
 	learned := b.learn(now, from, n.Contacts)
 	if n.Complete && !learned {
-		b.peers.Covered(from, n.Digest)
+		b.peers.Covered(now, n.Digest)
 	}
 	if fresh {
 		b.deps.Log.Info().Str("event", "peer").Stringer("peer", from).Str("name", n.Self.Name).
@@ -208,7 +217,7 @@
 			continue
 		}
 		if c.Service == "" {
-			b.peers.Learn(now, a, c.Name, c.Domain)
+			b.peers.Learn(now, a, Peer{Name: c.Name, Domain: c.Domain, Share: c.Share})
 			continue
 		}
 		if b.steerer.Targets.Learn(now, a, c.Name, c.Domain, c.Service) {
--- a/internal/process/streambalancer/peers.go
+++ b/internal/process/streambalancer/peers.go
@@ -1,9 +1,13 @@
 package streambalancer
 
 import (
+	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 
+	"github.com/zeebo/xxh3"
+
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
 )
 
@@ -29,6 +33,8 @@
 	Address netip.AddrPort
 	Name    string
 	Domain  string
+	// Share is its part of a core, in thousandths; zero when not known.
+	Share   uint32
 	Epoch   uint64
 	Version uint64
 	// Digest is a hash over the targets that it hears.
@@ -51,8 +57,10 @@
 	chosen clock.Millis
 	// avoid is until when no version is fetched from it.
 	avoid clock.Millis
-	// covered is a digest of it at which this balancer knew all that it knew.
-	covered uint64
+	// score is its rank among those that this balancer may choose as neighbours.
+	score uint64
+	// relay tells that it is a relay of its failure domain, as far as is known here.
+	relay bool
 	// unwatched is since when it is there without reading the platform.
 	unwatched clock.Millis
 }
@@ -83,11 +91,24 @@
 	led clock.Millis
 	// vouched tells that a settled balancer has told this one all targets.
 	vouched bool
+	// covered are digests of others at which this balancer knew all that they knew.
+	covered map[uint64]clock.Millis
+	// asked is when another balancer was asked for contacts last.
+	asked clock.Millis
+	// sorted is the peers by address; nil after a change. neighbours are the last ones,
+	// computed at refreshed, which is zero if they are to be computed anew.
+	sorted     []*Peer
+	neighbours []*Peer
+	refreshed  clock.Millis
+	// relays are those of each failure domain, chosen with the neighbours.
+	relays map[string][]*Peer
 }
 
 // NewPeers returns the peers of a balancer that has just started.
 func NewPeers(now clock.Millis, self Peer, seeds []netip.AddrPort) *Peers {
-	ps := &Peers{self: self, started: now, known: map[netip.AddrPort]*Peer{}}
+	ps := &Peers{
+		self: self, started: now, known: map[netip.AddrPort]*Peer{}, covered: map[uint64]clock.Millis{},
+	}
 	ps.Seed(now, seeds)
 	return ps
 }
@@ -95,19 +116,36 @@
 // Seed adds balancers that are known by address only.
 func (ps *Peers) Seed(now clock.Millis, seeds []netip.AddrPort) {
 	for _, a := range seeds {
-		ps.Learn(now, a, "", "")
+		ps.Learn(now, a, Peer{})
 	}
 }
 
-// Learn adds a balancer on hearsay.
-func (ps *Peers) Learn(now clock.Millis, a netip.AddrPort, name, domain string) bool {
+// Learn adds a balancer on hearsay: its name, failure domain and share of a core, as far
+// as they are known.
+func (ps *Peers) Learn(now clock.Millis, a netip.AddrPort, n Peer) bool {
+	if p := ps.known[a]; p != nil && p.Domain == "" && n.Domain != "" {
+		p.Name, p.Domain, p.Share = n.Name, n.Domain, n.Share
+		ps.changed(p)
+		return false
+	}
 	if a == ps.self.Address || ps.known[a] != nil || len(ps.known) >= mostPeers {
 		return false
 	}
-	ps.known[a] = &Peer{Address: a, Name: name, Domain: domain, learned: now}
+	ps.add(&Peer{Address: a, Name: n.Name, Domain: n.Domain, Share: n.Share, learned: now})
 	return true
 }
 
+func (ps *Peers) add(p *Peer) {
+	ps.known[p.Address] = p
+	ps.changed(p)
+}
+
+// changed notes that a peer is new or has another name.
+func (ps *Peers) changed(p *Peer) {
+	p.score = xxh3.HashString(ps.self.Name + " " + p.Name)
+	ps.sorted, ps.refreshed = nil, 0
+}
+
 // Hear takes news of a balancer itself. It reports whether it is one that has
 // not been heard before, or has started anew.
 func (ps *Peers) Hear(now clock.Millis, n Peer) bool {
@@ -120,22 +158,33 @@
 	}
 	if p == nil {
 		p = &Peer{Address: n.Address, learned: now}
-		ps.known[n.Address] = p
 	}
 	fresh := p.Heard == 0 || p.Epoch != n.Epoch
+	moved := fresh || p.Leaving != n.Leaving || p.Name != n.Name
 	switch {
 	case n.Watching:
 		p.unwatched = 0
 	case p.unwatched == 0 || fresh:
 		p.unwatched = now
 	}
-	p.Name, p.Domain, p.Epoch, p.Version = n.Name, n.Domain, n.Epoch, n.Version
+	p.Name, p.Domain, p.Share, p.Epoch, p.Version = n.Name, n.Domain, n.Share, n.Epoch, n.Version
 	p.Watching, p.Leaving, p.Settled = n.Watching, n.Leaving, n.Settled
 	p.Digest, p.Chose = n.Digest, n.Chose
 	p.Heard = now
+	if moved {
+		ps.add(p)
+	}
 	return fresh
 }
 
+// Domain returns the failure domain of a balancer, or nothing if it is not known.
+func (ps *Peers) Domain(at netip.AddrPort) string {
+	if p := ps.known[at]; p != nil {
+		return p.Domain
+	}
+	return ""
+}
+
 // Each calls f for every peer, in no order.
 func (ps *Peers) Each(f func(*Peer)) {
 	for _, p := range ps.known {
@@ -143,29 +192,46 @@
 	}
 }
 
-// Sorted returns the peers in the order of their addresses.
+// Sorted returns the peers in the order of their addresses. The result must not be
+// changed, and holds until a peer comes or goes.
 func (ps *Peers) Sorted() []*Peer {
-	all := make([]*Peer, 0, len(ps.known))
-	for _, p := range ps.known {
-		all = append(all, p)
+	if ps.sorted == nil {
+		ps.sorted = slices.SortedFunc(maps.Values(ps.known), func(a, b *Peer) int {
+			return a.Address.Compare(b.Address)
+		})
 	}
-	slices.SortFunc(all, func(a, b *Peer) int { return a.Address.Compare(b.Address) })
-	return all
+	return ps.sorted
 }
 
 // Newest returns a live peer whose version is the highest, if it is above the
-// given one. One that a call has just failed to is left out, so that another one is
+// given one: one of the own failure domain if there is one, then one with a large part of
+// a core. Balancers choose different ones where they can, for a version comes to all at
+// the same time. One that a call has just failed to is left out, so that another one is
 // asked, or the platform.
 func (ps *Peers) Newest(now clock.Millis, above uint64) (*Peer, bool) {
 	var best *Peer
 	for _, p := range ps.Sorted() {
-		if p.Live(now) && now >= p.avoid && p.Version > above && (best == nil || p.Version > best.Version) {
+		if p.Live(now) && now >= p.avoid && p.Version > above && (best == nil || ps.serves(p, best) > 0) {
 			best = p
 		}
 	}
 	return best, best != nil
 }
 
+// serves compares two peers that a version may be fetched from; the better one is larger.
+func (ps *Peers) serves(a, b *Peer) int {
+	near := func(p *Peer) int {
+		if p.Domain == ps.self.Domain {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(
+		cmp.Compare(a.Version, b.Version), cmp.Compare(near(a), near(b)), cmp.Compare(a.Share, b.Share),
+		cmp.Compare(a.score, b.score),
+	)
+}
+
 // Failed notes that a call to a balancer has failed.
 func (ps *Peers) Failed(now clock.Millis, a netip.AddrPort) {
 	if p := ps.known[a]; p != nil {
@@ -179,6 +245,7 @@
 	for a, p := range ps.known {
 		if now.Sub(max(p.Heard, p.learned)) > peerKnown {
 			delete(ps.known, a)
+			ps.sorted, ps.refreshed = nil, 0
 			gone = append(gone, p)
 		}
 	}
--- a/internal/process/streambalancer/turn.go
+++ b/internal/process/streambalancer/turn.go
@@ -18,7 +18,7 @@
 func (ps *Peers) Watches(now clock.Millis) bool {
 	before := clock.Millis(0)
 	for _, p := range ps.known {
-		if p.Domain != ps.self.Domain || !p.Live(now) || p.Name > ps.self.Name {
+		if p.Domain != ps.self.Domain || !p.Live(now) || ranks(p, &ps.self) > 0 {
 			continue
 		}
 		if p.Watching {
