Questions about flows keep a budget by the balancer's part of a core

Cause: after a loss of power packets of lost flows arrive at balancers that remember nothing. Each flow is asked of every target; gathered or not, that is 204 datagrams and as many answers for each moment in which a packet came.

Now parcels of questions have a budget, a third of the core with their answers, and what is over it goes on gathering: the later a question leaves, the more flows it asks about. Questions that have waited longest leave first, near ones 50 ms ahead of far ones; a circle of a search is given longer while questions wait, and nothing is asked again meanwhile. A single search waits for nothing.

Ruled out: longer pauses between rounds alone, since a round of 204 datagrams takes a small balancer 100 ms however rarely it comes.

TestQuestionsWithinShare.

--- a/internal/connection/stream/empty_test.go
+++ b/internal/connection/stream/empty_test.go
@@ -18,8 +18,8 @@
 // says asks an agent about a flow.
 func says(h *Holder, now clock.Millis) wire.Holding {
 	h.Take()
-	q := newQuestions()
-	q.add(worldAddress(2, 0), segment.Flow{Caller: worldAddress(100, 0), Listener: worldListener}, 7)
+	q := newQuestions(0)
+	q.add(now, worldAddress(2, 0), false, segment.Flow{Caller: worldAddress(100, 0), Listener: worldListener}, 7)
 	var out Outcome
 	q.flush(now, 0, &out)
 	h.Hear(now, worldAddress(1, 0), out.Sends[0].Parcel, nil)
--- a/internal/connection/stream/questions.go
+++ b/internal/connection/stream/questions.go
@@ -1,6 +1,7 @@
 package stream
 
 import (
+	"cmp"
 	"encoding/binary"
 	"maps"
 	"net/netip"
@@ -23,6 +24,19 @@
 	questionSize = 16
 	// mostQuestions keeps a parcel of questions within one frame.
 	mostQuestions = 80
+	// questionsPerCore is how many parcels of questions a second a whole core may send.
+	// With the answers that is some third of its time, and the rest is for flows that
+	// are well.
+	questionsPerCore = 5000.0
+	// unknownShare stands in for a part of a core that is not known, in thousandths.
+	unknownShare = 250
+	// questionBurst is how many of a second's parcels may leave at once, and leastBurst
+	// how many at least: a single search in a failure domain waits for nothing.
+	questionBurst = 0.3
+	leastBurst    = 100.0
+	// farWaits is how much longer questions to other failure domains wait than those
+	// within the own one: most flows never leave it.
+	farWaits = 50 * clock.Millis(1)
 )
 
 // questions are gathered for each agent.
@@ -31,6 +45,10 @@
 // datagram for each flow and target would keep small balancers busy for many seconds.
 // Gathered, the questions of a moment are one datagram a target, and an answer is a byte
 // a flow. A single search waits for nothing: its questions leave at once.
+//
+// Among hundreds of targets even a datagram a target for each moment is more than a small
+// balancer can send. So there is a budget of them by its part of a core. What is over it
+// goes on gathering: the later a question leaves, the more flows it asks about.
 type questions struct {
 	waiting map[netip.AddrPort]*batch
 	// sent are the batches without an answer, by their numbers.
@@ -38,33 +56,59 @@
 	number uint32
 	last   clock.Millis
 	swept  clock.Millis
+	// rate and burst bound the parcels, and left is how many may be sent, at the time
+	// filled.
+	rate, burst, left float64
+	filled            clock.Millis
 }
 
 // batch is questions to one agent.
 type batch struct {
-	to    netip.AddrPort
-	at    clock.Millis
+	to netip.AddrPort
+	at clock.Millis
+	// since orders the batches that wait.
+	since clock.Millis
 	flows []segment.Flow
 	bytes []byte
 }
 
-func newQuestions() questions {
-	return questions{waiting: map[netip.AddrPort]*batch{}, sent: map[uint32]*batch{}}
+// newQuestions returns the questions of a balancer with a part of a core, in thousandths.
+func newQuestions(share uint32) questions {
+	if share == 0 {
+		share = unknownShare
+	}
+	q := questions{waiting: map[netip.AddrPort]*batch{}, sent: map[uint32]*batch{}}
+	q.rate = questionsPerCore * float64(share) / 1000
+	q.burst = max(q.rate*questionBurst, leastBurst)
+	q.left = q.burst
+	return q
 }
 
-func (q *questions) add(to netip.AddrPort, id segment.Flow, ack uint32) {
+// add asks an agent about a flow; far tells that it is in another failure domain.
+func (q *questions) add(now clock.Millis, to netip.AddrPort, far bool, id segment.Flow, ack uint32) {
 	b := q.waiting[to]
 	if b == nil {
-		b = &batch{to: to}
+		b = &batch{to: to, since: now}
+		if far {
+			b.since += farWaits
+		}
 		q.waiting[to] = b
 	}
+	if slices.Contains(b.flows, id) {
+		return
+	}
 	b.flows = append(b.flows, id)
 	b.bytes = segment.AppendFlow(b.bytes, id)
 	b.bytes = binary.BigEndian.AppendUint32(b.bytes, ack)
 }
 
-// flush sends what waits, unless something was sent a moment ago, and forgets the
-// questions whose searches are over.
+// behind reports that questions wait because the budget is spent.
+func (q *questions) behind() bool {
+	return len(q.waiting) > 0 && q.left < 1
+}
+
+// flush sends what waits as far as the budget goes, unless something was sent a moment
+// ago, and forgets the questions whose searches are over.
 func (q *questions) flush(now clock.Millis, searches int, out *Outcome) {
 	if now.Sub(q.swept) > searchFor {
 		q.swept = now
@@ -75,15 +119,35 @@
 		return
 	}
 	q.last = now
-	for _, to := range slices.SortedFunc(maps.Keys(q.waiting), netip.AddrPort.Compare) {
-		b := q.waiting[to]
-		delete(q.waiting, to)
-		for len(b.flows) > 0 {
-			size := min(len(b.flows), mostQuestions)
-			q.send(now, out, &batch{to: to, at: now, flows: b.flows[:size], bytes: b.bytes[:size*questionSize]})
-			b.flows, b.bytes = b.flows[size:], b.bytes[size*questionSize:]
+	q.left = min(q.left+q.rate*float64(now.Sub(q.filled))/float64(clock.Second), q.burst)
+	q.filled = now
+	for _, b := range q.oldest() {
+		if !q.sendAll(now, b, out) {
+			return
+		}
+		delete(q.waiting, b.to)
+	}
+}
+
+// oldest returns the batches that wait, those that have waited longest first.
+func (q *questions) oldest() []*batch {
+	return slices.SortedFunc(maps.Values(q.waiting), func(a, b *batch) int {
+		return cmp.Or(cmp.Compare(a.since, b.since), a.to.Compare(b.to))
+	})
+}
+
+// sendAll sends a batch in parcels, and reports whether the budget sufficed.
+func (q *questions) sendAll(now clock.Millis, b *batch, out *Outcome) bool {
+	for len(b.flows) > 0 {
+		if q.left < 1 {
+			return false
 		}
+		q.left--
+		size := min(len(b.flows), mostQuestions)
+		q.send(now, out, &batch{to: b.to, flows: b.flows[:size], bytes: b.bytes[:size*questionSize]})
+		b.flows, b.bytes = b.flows[size:], b.bytes[size*questionSize:]
 	}
+	return true
 }
 
 func (q *questions) send(now clock.Millis, out *Outcome, b *batch) {
--- a/internal/connection/stream/search.go
+++ b/internal/connection/stream/search.go
@@ -19,6 +19,8 @@
 	// returns a packet within a millisecond and answers a request in some tens;
 	// one whose agent has just started among all others needs longer.
 	unsureStage = 700 * clock.Millis(1)
+	// behindStage is how long a circle is given while questions wait for their budget.
+	behindStage = 400 * clock.Millis(1)
 	// askAgain is the pause before questions without answer are repeated; it
 	// doubles each time. Thousands of searches at once, after all VMs lost power,
 	// must not fill the links that their answers need.
@@ -134,12 +136,12 @@
 		}
 		q.open = true
 		x.open++
-		s.question(x, t.Address)
+		s.question(now, x, t)
 	}
 }
 
-func (s *Steerer) question(x *search, to netip.AddrPort) {
-	s.questions.add(to, x.id, x.flow.ack)
+func (s *Steerer) question(now clock.Millis, x *search, t *Target) {
+	s.questions.add(now, t.Address, t.Domain != s.settings.Domain, x.id, x.flow.ack)
 }
 
 func (s *Steerer) within(at stage, id segment.Flow, t *Target) bool {
@@ -167,7 +169,7 @@
 		// This process has just started and learns of targets meanwhile.
 		s.ask(now, x)
 	}
-	for x.stage < all && (x.open == 0 || now.Sub(x.began) > x.patience()) {
+	for x.stage < all && (x.open == 0 || now.Sub(x.began) > s.patience(x)) {
 		x.stage++
 		s.ask(now, x)
 	}
@@ -183,7 +185,7 @@
 	s.repeat(now, x)
 	x.due = min(x.again, x.began+searchFor+1)
 	if x.stage < all {
-		x.due = min(x.due, x.began+x.patience()+1)
+		x.due = min(x.due, x.began+s.patience(x)+1)
 	}
 }
 
@@ -196,11 +198,14 @@
 // patience is how long the search's circle is given.
 //
 // An unsure target that does not return the packet is most likely the owner, so it is
-// given longer before the packet goes to targets everywhere.
-func (x *search) patience() clock.Millis {
+// given longer before the packet goes to targets everywhere. Where questions wait for
+// their budget, no answer can be expected yet.
+func (s *Steerer) patience(x *search) clock.Millis {
 	switch {
 	case x.hungry:
 		return searchFor
+	case s.questions.behind():
+		return behindStage
 	case x.unsure > 0:
 		return unsureStage
 	case x.stage == near:
@@ -216,13 +221,13 @@
 		return
 	}
 	x.again, x.pause = now+x.pause, 2*x.pause
-	if x.open == 0 {
+	if x.open == 0 || s.questions.behind() {
 		return
 	}
 	for _, t := range s.Targets.Sorted() {
 		q := x.flow.asked[t.Address]
 		if q != nil && q.search == x && q.holding == wire.Holding_HOLDING_UNKNOWN && !t.Lost(now) {
-			s.question(x, t.Address)
+			s.question(now, x, t)
 		}
 	}
 }
--- a/internal/connection/stream/search_test.go
+++ b/internal/connection/stream/search_test.go
@@ -262,6 +262,55 @@
 	}
 }
 
+// All VMs lost power, and a balancer with a small part of a core is sent packets of lost
+// flows while there are hundreds of targets. What it asks stays within what it can work
+// on, and all the same each agent is asked about each flow. A single search does not wait.
+func TestQuestionsWithinShare(t *testing.T) {
+	const near, far, flows, share = 41, 163, 40, 60
+	s, _ := searching(t, near, far)
+	s.questions = newQuestions(share)
+	s.Take()
+	ask := func(i int, now clock.Millis) {
+		packet := encode(segment.Segment{
+			Source: worldAddress(100, i), Destination: worldListener, Flags: segment.Acks, Seq: 1, Ack: 9, Size: 100,
+		})
+		s.Arrive(now, decode(packet), packet)
+	}
+	ask(0, testNow)
+	if got := len(sent(s)[wire.Verb_VERB_ASK]); got != near {
+		t.Errorf("a single search asked %d targets at once, want the %d near ones", got, near)
+	}
+	parcels, asked := 0, map[segment.Flow]map[netip.AddrPort]bool{}
+	end := testNow + 4*clock.Second
+	for now := testNow + 10; now < end; now += 10 {
+		if i := int(now-testNow) / 25; i <= flows {
+			ask(i, now)
+		}
+		s.Tick(now)
+		for _, send := range s.Take().Sends {
+			if send.Parcel.Verb != wire.Verb_VERB_ASK {
+				continue
+			}
+			parcels++
+			eachQuestion(send.Parcel.Questions, func(id segment.Flow, _ uint32) {
+				if asked[id] == nil {
+					asked[id] = map[netip.AddrPort]bool{}
+				}
+				asked[id][send.To] = true
+			})
+		}
+	}
+	if most := int(leastBurst + questionsPerCore*share/1000*4); parcels > most {
+		t.Errorf("%d parcels of questions in four seconds, want up to %d", parcels, most)
+	}
+	for i := 1; i <= flows; i++ {
+		id := segment.Flow{Caller: worldAddress(100, i), Listener: worldListener}
+		if got := len(asked[id]); got < near {
+			t.Errorf("%d agents were asked about flow %d, want the %d near ones at least", got, i, near)
+		}
+	}
+}
+
 // Somebody sends packets of ever new flows, which no target holds: thousands at one
 // moment, and then faster than searches end. The balancer's memory stays bounded: it keeps a bounded number of
 // searches and bytes, and forgets what agents said of a flow once it no longer holds.
--- a/internal/connection/stream/steer.go
+++ b/internal/connection/stream/steer.go
@@ -15,6 +15,8 @@
 type Settings struct {
 	// Domain is the balancer's failure domain.
 	Domain string
+	// Share is its part of a core, in thousandths; zero when not known.
+	Share uint32
 	// Flows is how many flows are remembered. Beyond it the longest unused
 	// is forgotten, and its next packet starts a search.
 	Flows int
@@ -79,7 +81,7 @@
 func NewSteerer(now clock.Millis, settings Settings) *Steerer {
 	s := &Steerer{
 		settings: settings, started: now, Targets: NewTargets(settings.Domain),
-		questions: newQuestions(),
+		questions: newQuestions(settings.Share),
 		history:   routing.NewHistory(settings.FlowLife.Duration()),
 	}
 	s.flows, _ = simplelru.NewLRU[segment.Flow, *flow](max(settings.Flows, 1), nil)
--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -198,7 +198,7 @@
 	b := &Balancer{
 		settings: settings, deps: deps,
 		steerer: stream.NewSteerer(deps.Clock.Now(), stream.Settings{
-			Domain: settings.Domain, Flows: mostFlows, FlowLife: settings.FlowLife,
+			Domain: settings.Domain, Share: settings.Share, Flows: mostFlows, FlowLife: settings.FlowLife,
 		}),
 		record:    decisions.NewRecorder(deps.Log, deps.Scope),
 		malformed: decisions.NewMalformed(deps.Log, deps.Scope), unsent: deps.Scope.Counter("unsent"),
