A process that stops waits half a second for the reader of its log, no longer

Cause: closing the log waited until every line was read. Where nobody reads standard output, a process that was told to stop stayed until it was killed. The test fails on the code of before (after five seconds) and passes now.

--- a/internal/process/decisions/decisions.go
+++ b/internal/process/decisions/decisions.go
@@ -34,8 +34,10 @@
 	// of a core and 3 % of the smallest share that a balancer gets.
 	linesPerSecond = 100
 	burst          = 400
-	// kept is how many lines wait for a slow reader.
-	kept = 1000
+	// kept is how many lines wait for a slow reader, and closeWait how long a process
+	// that ends waits until it has read them.
+	kept      = 1000
+	closeWait = 500 * time.Millisecond
 )
 
 // Buckets are the bounds of latency histograms: from a hop inside a failure domain
@@ -50,14 +52,25 @@
 var timed = []stream.Kind{stream.Took, stream.Accepted, stream.Found, stream.GaveUp}
 
 // Writer returns a writer that never blocks, and a function that writes what
-// still waits. Lines that find no room are lost and counted in a line.
+// still waits, within a bounded time: a process that stops must not be there for as long
+// as nobody reads. Lines that find no room are lost and counted in a line.
 func Writer(w io.Writer) (io.Writer, func()) {
 	out := diode.NewWriter(w, kept, 0, func(missed int) {
 		// The diode calls this from its own goroutine, after it has made room.
 		l := zerolog.New(w)
 		l.Warn().Str("event", "loglost").Int("lines", missed).Msg("the reader of the log is too slow")
 	})
-	return out, func() { _ = out.Close() }
+	return out, func() {
+		written := make(chan struct{})
+		go func() {
+			_ = out.Close()
+			close(written)
+		}()
+		select {
+		case <-written:
+		case <-time.After(closeWait):
+		}
+	}
 }
 
 // Recorder logs and counts decisions.
--- a/internal/process/decisions/decisions_test.go
+++ b/internal/process/decisions/decisions_test.go
@@ -53,6 +53,30 @@
 	}
 }
 
+// Nobody reads standard output any more and the process is told to stop: it must not be
+// there until it is killed.
+func TestBlockedReaderCostsNoStop(t *testing.T) {
+	read, write := io.Pipe()
+	out, closeLog := Writer(write)
+	log := zerolog.New(out)
+	for range 10 {
+		log.Info().Str("event", "filler").Send()
+	}
+	closed := make(chan struct{})
+	go func() {
+		closeLog()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-time.After(10 * closeWait):
+		t.Error("the process waits for a reader of its log")
+	}
+	if err := read.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
 // A burst of decisions is over the budget of lines. Each is counted; the next line
 // tells how many had none.
 func TestLinesWithinBudget(t *testing.T) {
