Relays tell loads of targets whose slots are in use each 150 ms

Cause: agents told loads that fast to every balancer; summaries of all targets come each 250 ms from two relays, and the flows of an overloaded failure domain would all go to the target that had room then. Only targets that are loaded, or were when told last, are in them.

--- a/internal/connection/stream/summary.go
+++ b/internal/connection/stream/summary.go
@@ -201,14 +201,38 @@
 	}
 }
 
+// noteLoads adds the targets of the own failure domain whose slots are in use, or were when
+// they were told last, to the next summary of changes.
+//
+// Balancers elsewhere would all choose the target that had room half a second ago.
+func (s *Steerer) noteLoads(now clock.Millis) {
+	for _, t := range s.Targets.Sorted() {
+		if t.Domain != s.settings.Domain || t.Heard == 0 {
+			continue
+		}
+		loaded := t.Busy > overload*float64(max(t.Slots, 1))
+		if loaded || t.loaded {
+			s.spread(entry(t.Address, t.report(now), now.Sub(t.Heard), t.silence(now)))
+		}
+		t.loaded = loaded
+	}
+}
+
 // HasNews reports that a target of the own failure domain has changed in a way that
 // balancers elsewhere are to be told at once.
 func (s *Steerer) HasNews() bool {
 	return len(s.news) > 0
 }
 
-// News returns these targets in summaries of changes.
-func (s *Steerer) News() []*wire.Summary {
+// News returns these targets in summaries of changes. With loads they tell of those whose
+// slots are in use as well; there may be none then.
+func (s *Steerer) News(now clock.Millis, loads bool) []*wire.Summary {
+	if loads {
+		s.noteLoads(now)
+	}
+	if len(s.news) == 0 {
+		return nil
+	}
 	entries := s.news
 	s.news = nil
 	return s.parts(entries)
--- a/internal/connection/stream/summary_test.go
+++ b/internal/connection/stream/summary_test.go
@@ -163,7 +163,7 @@
 	}
 	want := func(condition wire.Condition, silent bool) {
 		t.Helper()
-		parts := s.News()
+		parts := s.News(testNow, false)
 		if len(parts) != 1 || len(parts[0].Entries) != 1 {
 			t.Fatalf("told %v, want one change", parts)
 		}
@@ -195,6 +195,29 @@
 	}
 }
 
+// A target's slots are in use, and the flows of another failure domain leave it. Balancers
+// there hear of it with the next summary of changes, and once more when there is room.
+func TestRelayTellsLoads(t *testing.T) {
+	s := NewSteerer(0, Settings{Domain: "b", Flows: 100, FlowLife: worldLife})
+	s.SetRelay(true)
+	report := func(sequence uint64, busy uint32) {
+		r := ready(1, sequence)
+		r.Domain, r.Busy = "b", busy*busyScale
+		s.Hear(testNow, worldAddress(2, 0), &wire.Parcel{Verb: wire.Verb_VERB_REPORT, Report: r}, nil)
+	}
+	report(1, 0)
+	s.News(testNow, true)
+	for i, c := range []struct {
+		busy uint32
+		told bool
+	}{{0, false}, {2, true}, {2, true}, {0, true}, {0, false}} {
+		report(uint64(i+2), c.busy)
+		if told := len(s.News(testNow, true)) == 1; told != c.told {
+			t.Errorf("report %d, with %d requests under way: told %v", i, c.busy, told)
+		}
+	}
+}
+
 // A failure domain has more targets than one frame takes, and a part of the summary of
 // all of them is lost. The receiver must not believe that it knows all.
 func TestCompleteNeedsAllParts(t *testing.T) {
--- a/internal/connection/stream/target.go
+++ b/internal/connection/stream/target.go
@@ -93,6 +93,8 @@
 	// of before that a report in a summary may not know of.
 	placed  int
 	earlier int
+	// loaded tells that its slots were in use when balancers elsewhere were told last.
+	loaded bool
 	// noted tells that the target's suspicion was logged.
 	noted bool
 }
--- a/internal/connection/stream/world_test.go
+++ b/internal/connection/stream/world_test.go
@@ -290,7 +290,7 @@
 		b.number++
 		parts = b.steerer.Summary(w.now, uint64(b.born), b.number, false)
 	case b.steerer.HasNews():
-		parts = b.steerer.News()
+		parts = b.steerer.News(w.now, false)
 	}
 	for _, other := range w.balancers {
 		if other.domain == b.domain {
--- a/internal/process/streambalancer/relays.go
+++ b/internal/process/streambalancer/relays.go
@@ -16,9 +16,11 @@
 	// relayStart is how long a balancer that has started is no relay: it does not know
 	// yet who else is there.
 	relayStart = 500 * clock.Millis(1)
-	// summaryEvery is the pause between two summaries of all targets, and newsEvery the
-	// least one between two of what has changed.
+	// summaryEvery is the pause between two summaries of all targets, loadsEvery the one
+	// between two of those whose slots are in use, and newsEvery the least one between two
+	// of what has changed.
 	summaryEvery = 500 * clock.Millis(1)
+	loadsEvery   = 150 * clock.Millis(1)
 	newsEvery    = 20 * clock.Millis(1)
 )
 
--- a/internal/process/streambalancer/summaries.go
+++ b/internal/process/streambalancer/summaries.go
@@ -11,11 +11,13 @@
 type relaying struct {
 	on bool
 	// number counts the summaries of all targets; summarized is when the last one was
-	// sent, whether it was complete, and changed when the last one of changes was.
+	// sent, whether it was complete, changed when the last one of changes was, and loads
+	// when the last one was that told of targets whose slots are in use.
 	number     uint32
 	summarized clock.Millis
 	complete   bool
 	changed    clock.Millis
+	loads      clock.Millis
 }
 
 // tellSummaries tells the relays of other failure domains of the targets of this one, if
@@ -31,11 +33,14 @@
 	switch {
 	case now.Sub(r.summarized) >= summaryEvery || complete != r.complete:
 		r.number++
-		r.summarized, r.changed, r.complete = now, now, complete
+		r.summarized, r.changed, r.loads, r.complete = now, now, now, complete
 		b.sendSummaries(now, place, b.steerer.Summary(now, b.peers.self.Epoch, r.number, complete))
+	case now.Sub(r.loads) >= loadsEvery:
+		r.changed, r.loads = now, now
+		b.sendSummaries(now, place, b.steerer.News(now, true))
 	case b.steerer.HasNews() && now.Sub(r.changed) >= newsEvery:
 		r.changed = now
-		b.sendSummaries(now, place, b.steerer.News())
+		b.sendSummaries(now, place, b.steerer.News(now, false))
 	}
 }
 
