--- a/internal/connection/stream/probe.go
+++ b/internal/connection/stream/probe.go
@@ -6,6 +6,31 @@
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
 )
 
+const (
+	// nearProbe is how often targets in the balancer's own failure domain are probed, and
+	// farProbe how often those in others of which no summary tells. Load changes within a
+	// mean request, some 30 ms, but a report that is 200 ms old is corrected by what was
+	// placed since; traffic between domains is paid for.
+	nearProbe = 200 * clock.Millis(1)
+	farProbe  = clock.Second
+	// restProbe is how often targets of a service are probed that had no
+	// openings or searches here for restAfter: a balancer among hundreds sees
+	// few of the services.
+	restProbe = 5 * clock.Second
+	restAfter = 20 * clock.Second
+	// againProbe is the pause before a probe without answer is repeated, some
+	// round trips between failure domains.
+	againProbe = 100 * clock.Millis(1)
+	// lostProbe is the pause between probes of a suspected target.
+	lostProbe = 500 * clock.Millis(1)
+	// tickLate is a pause between two ticks that is longer than planned: this
+	// process stood still, or is short of processor time.
+	tickLate = 100 * clock.Millis(1)
+	// forgetAfter is the silence after which a target is no longer known: a
+	// flow lives no longer than a minute.
+	forgetAfter = 70 * clock.Second
+)
+
 // Due returns the targets to probe now and notes that they are.
 //
 // The time that this process itself was late does not count: its targets would seem
