Agents and balancers look into the directory again soon after it was away

Cause, by reading: an agent whose look into the directory failed looked again after five seconds, a balancer after one to three. Now 0.2 s, doubling, with jitter, up to the pauses of before.

TestFindsAgainSoon fails with the pause of before.

--- a/internal/process/streamagent/agent.go
+++ b/internal/process/streamagent/agent.go
@@ -56,8 +56,10 @@
 	// keeperFor is the silence after which no balancer is there that keeps checkpoints.
 	keeperFor = 2 * clock.Second
 	// findEvery is how often the directory is asked for balancers while none
-	// probes this target.
+	// probes this target, and firstFind the first pause after a call that failed; it
+	// doubles.
 	findEvery = 5 * clock.Second
+	firstFind = 200 * clock.Millis(1)
 )
 
 // Finder finds balancers to report to: those of a failure domain, and all.
--- a/internal/process/streamagent/agent_test.go
+++ b/internal/process/streamagent/agent_test.go
@@ -1,8 +1,14 @@
 package streamagent
 
 import (
+	"context"
+	"errors"
 	"net/netip"
+	"sync"
 	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
 
 	"github.com/wagtailtray/wagtailtray/internal/connection/stream"
 	"github.com/wagtailtray/wagtailtray/internal/request/segment"
@@ -105,6 +111,45 @@
 	}
 }
 
+// away is a directory that is away for some calls, and then names a balancer.
+type away struct {
+	mu    sync.Mutex
+	calls int
+	until int
+}
+
+func (d *away) Balancers(context.Context, string) (near, all []netip.AddrPort, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.calls++
+	if d.calls <= d.until {
+		return nil, nil, errors.New("away")
+	}
+	return []netip.AddrPort{testBalancer(7)}, nil, nil
+}
+
+// All VMs lost power and the platform is away for another second. The agent knows no
+// balancer; it must look again soon, not seconds after the platform is back.
+func TestFindsAgainSoon(t *testing.T) {
+	a := testAgent(t, false)
+	d := &away{until: 2}
+	a.deps = Deps{Finder: d, Clock: &clock.Manual{}, Log: zerolog.Nop()}
+	a.deps.Clock.(*clock.Manual).Add(testNow)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	go a.finds(ctx)
+	for ctx.Err() == nil {
+		a.mu.Lock()
+		found := a.balancers[testBalancer(7)] != nil
+		a.mu.Unlock()
+		if found {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Error("no balancer is known although the platform is back")
+}
+
 // Strangers send parcels from ever new addresses. The agent remembers as many as
 // there may be balancers, and no more.
 func TestBalancersAreBounded(t *testing.T) {
--- a/internal/process/streamagent/look.go
+++ b/internal/process/streamagent/look.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"syscall"
 	"time"
@@ -37,19 +38,23 @@
 	}
 }
 
-// finds looks for balancers while none probes this target.
+// finds looks for balancers while none probes this target. A platform that does not answer
+// is asked again soon: after a loss of power nobody else knows where balancers are.
 func (a *Agent) finds(ctx context.Context) {
-	pause := clock.Millis(0)
+	pause, retry := clock.Millis(0), firstFind
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(pause.Duration()):
 		}
-		pause = clock.Second
-		if a.lonely() {
-			a.find(ctx)
-			pause = findEvery
+		switch {
+		case !a.lonely():
+			pause, retry = clock.Second, firstFind
+		case a.find(ctx):
+			pause, retry = findEvery, firstFind
+		default:
+			pause, retry = retry/2+rand.N(retry/2), min(2*retry, findEvery)
 		}
 	}
 }
@@ -61,11 +66,14 @@
 	return a.deps.Clock.Now().Sub(a.probed) > 2*clock.Second
 }
 
-func (a *Agent) find(ctx context.Context) {
+// find looks balancers up, and reports whether the platform has answered.
+func (a *Agent) find(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
 	near, all, err := a.deps.Finder.Balancers(ctx, a.settings.Domain)
 	if err != nil {
 		a.deps.Log.Warn().Str("event", "nodirectory").Err(err).Msg("balancers cannot be looked up")
-		return
+		return false
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -73,4 +81,5 @@
 	if len(near) == 0 || a.alone(a.deps.Clock.Now()) {
 		a.learn(all, "")
 	}
+	return true
 }
--- a/internal/process/streambalancer/configure.go
+++ b/internal/process/streambalancer/configure.go
@@ -35,8 +35,10 @@
 	settle = 250 * time.Millisecond
 	// idleWait is how long a balancer that does not watch sleeps at most.
 	idleWait = 500 * time.Millisecond
-	// registerRetry is the pause after a failed registration.
-	registerRetry = 2 * time.Second
+	// firstRegister and lastRegister are the pauses after a failed registration,
+	// doubling: without the directory a balancer knows those of its settings only.
+	firstRegister = 200 * time.Millisecond
+	lastRegister  = 2 * time.Second
 )
 
 // configure keeps the routing table up to date: from a peer that has a later
@@ -180,12 +182,14 @@
 	entry := directory.Entry{
 		Name: b.settings.Name, Address: b.settings.Parcels, Domain: b.settings.Domain, Share: b.settings.Share,
 	}
+	pause := firstRegister
 	for !b.registered(ctx, entry) {
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(registerRetry/2 + rand.N(registerRetry)):
+		case <-time.After(pause/2 + rand.N(pause)):
 		}
+		pause = min(2*pause, lastRegister)
 	}
 }
 
