--- a/internal/connection/stream/questions.go
+++ b/internal/connection/stream/questions.go
@@ -121,6 +121,9 @@
 	q.last = now
 	q.left = min(q.left+q.rate*float64(now.Sub(q.filled))/float64(clock.Second), q.burst)
 	q.filled = now
+	if q.left < 1 {
+		return
+	}
 	for _, b := range q.oldest() {
 		if !q.sendAll(now, b, out) {
 			return
