Balancers choose different ones of targets that cost about the same; owners are told once

Costs within 0.05 of a slot's part count as alike, and each balancer draws one of those by a seed of its own.

Now those that had packets here or were inherited within five seconds, and none that their callers have ended. TestOwnersAreToldOnce.

--- a/internal/connection/stream/choose.go
+++ b/internal/connection/stream/choose.go
@@ -4,6 +4,9 @@
 	"net/netip"
 	"slices"
 
+	"github.com/zeebo/xxh3"
+
+	"github.com/wagtailtray/wagtailtray/internal/request/segment"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
 )
 
@@ -18,6 +21,9 @@
 	// where its own domain is overloaded and another one clearly is not.
 	overload = 0.9
 	crossing = 0.3
+	// evenly is by how much the costs of targets may differ that are taken for alike:
+	// what is known of their load is no more exact.
+	evenly = 0.05
 	// leastFlowLoad is what a flow counts for where no requests were seen yet,
 	// in requests under way.
 	leastFlowLoad = 0.01
@@ -57,16 +63,47 @@
 	return c
 }
 
-// pick is the best target so far.
-type pick struct {
+// candidate is a target for a new flow with its cost.
+type candidate struct {
 	target *Target
 	cost   float64
 }
 
-func (p *pick) offer(t *Target, cost float64) {
-	if p.target == nil || cost < p.cost || cost == p.cost && t.Address.Compare(p.target.Address) < 0 {
-		*p = pick{target: t, cost: cost}
+// candidates are targets for a new flow, and the least cost among them.
+type candidates struct {
+	all  []candidate
+	best float64
+}
+
+func (c *candidates) add(t *Target, cost float64) {
+	if len(c.all) == 0 || cost < c.best {
+		c.best = cost
+	}
+	c.all = append(c.all, candidate{target: t, cost: cost})
+}
+
+// choose returns one of those that cost about the least, by a draw, or nil.
+//
+// Balancers know the same loads for a while. If each took the least one, hundreds of
+// flows would go to the target that had room when it was asked, and its queue would
+// overflow beside idle ones.
+func (c *candidates) choose(draw uint64) *Target {
+	var chosen *Target
+	least := uint64(0)
+	for _, x := range c.all {
+		if x.cost > c.best+evenly {
+			continue
+		}
+		if rank := hash(x.target.Address, draw); chosen == nil || rank < least {
+			chosen, least = x.target, rank
+		}
 	}
+	return chosen
+}
+
+func hash(a netip.AddrPort, draw uint64) uint64 {
+	var room [8]byte
+	return xxh3.HashSeed(segment.AppendAddress(room[:0], a), draw)
 }
 
 // mostFail reports that more of a service's targets fail than are ready.
@@ -97,7 +134,7 @@
 }
 
 // Choose returns the target for a new flow of a service that was not tried yet:
-// the least loaded one of the balancer's own failure domain, unless that is
+// one of the least loaded ones of the balancer's own failure domain, unless that is
 // overloaded and one elsewhere is not. Targets that are suspected or not known to
 // be ready are left out, and so are those that fail while others do not; with none
 // left, the result is false.
@@ -105,7 +142,7 @@
 // What was placed at home since the last reports counts elsewhere too: when all callers
 // come back at once, other balancers place as many at theirs.
 func (ts *Targets) Choose(now clock.Millis, service string, tried []netip.AddrPort) (*Target, bool) {
-	var near, far pick
+	near, far := candidates{all: ts.near[:0]}, candidates{all: ts.far[:0]}
 	targets := ts.want(now, service)
 	each := flowLoad(targets)
 	all := mostFail(now, targets)
@@ -117,19 +154,21 @@
 		}
 		c := ts.cost(now, t, each)
 		if t.Domain != ts.domain {
-			far.offer(t, c)
+			far.add(t, c)
 			continue
 		}
-		near.offer(t, c)
+		near.add(t, c)
 		placed = max(placed, each*float64(t.placed)/float64(max(t.Slots, 1)))
 	}
-	best := near.target
-	if best == nil || near.cost > overload && far.target != nil && far.cost+placed+crossing < near.cost {
-		best = far.target
+	ts.near, ts.far = near.all, far.all
+	from := &near
+	if len(near.all) == 0 || near.best > overload && len(far.all) > 0 && far.best+placed+crossing < near.best {
+		from = &far
 	}
-	if best == nil {
+	t := from.choose(ts.random.Uint64())
+	if t == nil {
 		return nil, false
 	}
-	best.placed++
-	return best, true
+	t.placed++
+	return t, true
 }
--- a/internal/connection/stream/choose_test.go
+++ b/internal/connection/stream/choose_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
@@ -22,7 +24,7 @@
 // loaded returns targets of one service with these loads, in a balancer of the
 // failure domain "a". Targets have four slots.
 func loaded(loads ...load) *Targets {
-	ts := NewTargets("a")
+	ts := NewTargets("a", 1)
 	for i, l := range loads {
 		ts.Report(testNow, worldAddress(2, i), &wire.Report{
 			Name: fmt.Sprint("t", i), Domain: l.domain, Service: "one", Epoch: 1, Sequence: 1, Born: 1,
@@ -59,6 +61,27 @@
 	}
 }
 
+// Twenty balancers know the same loads of nine targets, all of which have room, and get
+// three openings each before they hear more. The flows must not all go to the one target
+// that looked best a moment ago, whose queue would overflow beside idle ones.
+func TestChooseTogether(t *testing.T) {
+	total := make([]int, 9)
+	for seed := range uint64(20) {
+		loads := make([]load, len(total))
+		for i := range loads {
+			loads[i] = load{"a", 10 + i%2, 0.1, 0}
+		}
+		ts := loaded(loads...)
+		ts.random = rand.New(rand.NewPCG(seed, 0))
+		for i, n := range place(ts, 3) {
+			total[i] += n
+		}
+	}
+	if most := slices.Max(total); most > 14 {
+		t.Errorf("60 openings of twenty balancers went %v", total)
+	}
+}
+
 // All callers come back at once, in every failure domain. What this balancer has
 // placed at home since the last reports must not send the rest elsewhere, where
 // others place as many.
@@ -169,7 +192,7 @@
 // Strangers report targets from ever new addresses, and balancers name others. As
 // many are known as there may be, and no more.
 func TestTargetsAreBounded(t *testing.T) {
-	ts := NewTargets("a")
+	ts := NewTargets("a", 1)
 	for i := range 3 * mostTargets {
 		ts.Report(testNow, worldAddress(i>>16, 2*i), &wire.Report{Service: "one", Epoch: 1, Sequence: 1})
 		ts.Learn(testNow, worldAddress(i>>16, 2*i+1), "t", "a", "one")
--- a/internal/connection/stream/opening.go
+++ b/internal/connection/stream/opening.go
@@ -28,7 +28,7 @@
 		f = &flow{}
 		s.flows.Add(id, f)
 	}
-	f.last = now
+	f.last, f.ended, f.inherited = now, false, false
 	f.service = service
 	if f.search == nil {
 		f.asked = nil
--- a/internal/connection/stream/owners.go
+++ b/internal/connection/stream/owners.go
@@ -6,13 +6,25 @@
 	"github.com/wagtailtray/wagtailtray/pkg/wire"
 )
 
+// inheritedFor is how long a flow is told on whose owner another balancer has told and
+// that has had no packet here: some pauses of callers between two requests.
+const inheritedFor = 5 * clock.Second
+
 // Owners returns the flows that this balancer knows the owners of, for the one
-// that takes its place.
+// that takes its place: those that had packets here, and those inherited lately.
+//
+// Each balancer of a failure domain tells a starting one. Were all told that any of them
+// has ever inherited, it would be told each flow by each, and small ones were busy with
+// that while callers' packets wait.
 func (s *Steerer) Owners(now clock.Millis) []*wire.Owner {
 	var all []*wire.Owner
 	for _, id := range s.flows.Keys() {
 		f, ok := s.flows.Peek(id)
-		if !ok || now.Sub(f.last) > s.settings.FlowLife {
+		life := s.settings.FlowLife
+		if ok && f.inherited {
+			life = inheritedFor
+		}
+		if !ok || f.ended || now.Sub(f.last) > life {
 			continue
 		}
 		taker, ok := f.owner.Taker()
@@ -39,7 +51,7 @@
 		if err != nil || s.flows.Contains(id) {
 			continue
 		}
-		s.flows.Add(id, &flow{owner: takenBy(agent), service: o.Service, last: now})
+		s.flows.Add(id, &flow{owner: takenBy(agent), service: o.Service, last: now, inherited: true})
 		taken++
 	}
 	return taken
--- a/internal/connection/stream/ownership_test.go
+++ b/internal/connection/stream/ownership_test.go
@@ -43,6 +43,37 @@
 	}
 }
 
+// A failure domain's balancers are restarted in turn. Each tells a starting one what had
+// packets here, and what it was told itself a moment ago; not every flow that any of them
+// ever knew, nor those that have ended.
+func TestOwnersAreToldOnce(t *testing.T) {
+	s, packet := searching(t, 1, 0)
+	answer(s, testNow+1, 0, wire.Holding_HOLDING_OWNED)
+	other := NewSteerer(0, Settings{Domain: "a", Flows: 100, FlowLife: worldLife})
+	later := testNow + clock.Second
+	if got := other.Inherit(later, s.Owners(later)); got != 1 {
+		t.Fatalf("%d flows inherited", got)
+	}
+	if got := len(other.Owners(later + inheritedFor)); got != 1 {
+		t.Errorf("%d flows told on that were inherited a moment ago", got)
+	}
+	later += inheritedFor + 1
+	if got := len(other.Owners(later)); got != 0 {
+		t.Errorf("%d flows told on that never had a packet there", got)
+	}
+	if got := len(s.Owners(later)); got != 1 {
+		t.Errorf("%d flows told that had packets", got)
+	}
+	end := encode(segment.Segment{
+		Source: testFlow.Caller, Destination: testFlow.Listener, Flags: segment.Ends | segment.Acks, Ack: 9,
+	})
+	s.Arrive(later, decode(end), end)
+	if got := len(s.Owners(later)); got != 0 {
+		t.Errorf("%d flows told that their callers have ended", got)
+	}
+	s.Arrive(later, decode(packet), packet)
+}
+
 // fillSearches begins as many searches as there may be.
 func fillSearches(s *Steerer, now clock.Millis) {
 	for i := range s.room() {
--- a/internal/connection/stream/steer.go
+++ b/internal/connection/stream/steer.go
@@ -17,6 +17,8 @@
 	Domain string
 	// Share is its part of a core, in thousandths; zero when not known.
 	Share uint32
+	// Seed is a number of this balancer's own, for choices between targets that are alike.
+	Seed uint64
 	// Flows is how many flows are remembered. Beyond it the longest unused
 	// is forgotten, and its next packet starts a search.
 	Flows int
@@ -40,6 +42,10 @@
 	gaveUp clock.Millis
 	// ack is the caller's last acknowledgement.
 	ack uint32
+	// inherited tells that another balancer told the owner, and no packet came here since;
+	// ended that the caller has ended the flow.
+	inherited bool
+	ended     bool
 }
 
 // Steerer is a balancer's decisions. It belongs to one process and is not safe
@@ -80,7 +86,7 @@
 // NewSteerer returns a Steerer that knows nothing yet.
 func NewSteerer(now clock.Millis, settings Settings) *Steerer {
 	s := &Steerer{
-		settings: settings, started: now, Targets: NewTargets(settings.Domain),
+		settings: settings, started: now, Targets: NewTargets(settings.Domain, settings.Seed),
 		questions: newQuestions(settings.Share),
 		history:   routing.NewHistory(settings.FlowLife.Duration()),
 	}
@@ -161,6 +167,8 @@
 	}
 	f.last = now
 	f.ack = seg.Ack
+	f.inherited = false
+	f.ended = f.ended || seg.Flags&(segment.Ends|segment.Resets) != 0
 	if f.search != nil {
 		s.add(f.search, packet)
 		return
--- a/internal/connection/stream/targets.go
+++ b/internal/connection/stream/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 
@@ -42,12 +43,16 @@
 	summaries map[string]*summary
 	// sorted is the targets by address; nil after a change.
 	sorted []*Target
+	random *rand.Rand
+	// near and far are room for the candidates of a choice.
+	near, far []candidate
 }
 
-// NewTargets returns an empty set for a balancer in a failure domain.
-func NewTargets(domain string) *Targets {
+// NewTargets returns an empty set for a balancer in a failure domain. Balancers have
+// different seeds, so that they choose different ones of targets that are alike.
+func NewTargets(domain string, seed uint64) *Targets {
 	return &Targets{
-		domain: domain, known: map[netip.AddrPort]*Target{}, groups: map[string]*group{},
+		domain: domain, random: rand.New(rand.NewPCG(seed, 0)), known: map[netip.AddrPort]*Target{}, groups: map[string]*group{},
 		left: map[netip.AddrPort]departure{}, summaries: map[string]*summary{},
 	}
 }
--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -37,6 +37,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 	"github.com/zeebo/errs"
+	"github.com/zeebo/xxh3"
 
 	"github.com/wagtailtray/wagtailtray/internal/connection/checkpoint"
 	"github.com/wagtailtray/wagtailtray/internal/connection/stream"
@@ -190,7 +191,8 @@
 	b := &Balancer{
 		settings: settings, deps: deps,
 		steerer: stream.NewSteerer(deps.Clock.Now(), stream.Settings{
-			Domain: settings.Domain, Share: settings.Share, Flows: mostFlows, FlowLife: settings.FlowLife,
+			Domain: settings.Domain, Share: settings.Share,
+			Seed: xxh3.HashString(settings.Name), Flows: mostFlows, FlowLife: settings.FlowLife,
 		}),
 		record:    decisions.NewRecorder(deps.Log, deps.Scope),
 		malformed: decisions.NewMalformed(deps.Log, deps.Scope), unsent: deps.Scope.Counter("unsent"),
