Balancers agree again as soon as a change is known, not a second later

A balancer waits for its neighbours' digests; they told theirs at once to their own neighbours, which it need not be one of, and told the others at their regular pause of a second. Besides, answers to questions said that the asker was no neighbour, so even those that were chosen forgot it until the next news.

Now a change is told to those whose neighbour a balancer is as well, and every news says truly whether its receiver is one. TestAgreementAfterDeparture (0.7 s, the balancers' own code without network) and TestChangeReachesThoseConcerned fail without it.

--- a/internal/process/streambalancer/neighbours.go
+++ b/internal/process/streambalancer/neighbours.go
@@ -67,6 +67,18 @@
 	return chosen
 }
 
+// Concerned returns the neighbours, and the balancers whose neighbour this one is: they
+// agree with it only once they know what has changed here.
+func (ps *Peers) Concerned(now clock.Millis) []*Peer {
+	all := slices.Clone(ps.Neighbours(now))
+	for _, p := range ps.Sorted() {
+		if p.chosen == 0 && p.Chose && p.Live(now) {
+			all = append(all, p)
+		}
+	}
+	return all
+}
+
 // first returns the first peers by rendezvous.
 func first(peers []*Peer, most int) []*Peer {
 	slices.SortStableFunc(peers, func(a, b *Peer) int { return cmp.Compare(b.score, a.score) })
--- a/internal/process/streambalancer/news.go
+++ b/internal/process/streambalancer/news.go
@@ -25,9 +25,10 @@
 const contactsPerParcel = 60
 
 // news is what this balancer tells another one. The lock is held.
-func (b *Balancer) news() *wire.News {
+func (b *Balancer) news(to netip.AddrPort) *wire.News {
 	self := &b.peers.self
 	return &wire.News{
+		Chose: b.peers.Chose(to),
 		Self:  peerContact(self),
 		Epoch: self.Epoch, Digest: b.digest(), Watching: b.watching, Leaving: b.leaving, Settled: b.settled,
 		Version: b.version(),
@@ -93,8 +94,7 @@
 		return b.steerer.Targets.Complete(now, domain)
 	}))
 	for _, p := range b.peers.Due(now) {
-		n := b.news()
-		n.Chose = p.chosen != 0
+		n := b.news(p.Address)
 		if p.Heard == 0 && b.peers.mayAsk(now, p) {
 			b.question(n)
 		}
@@ -128,14 +128,12 @@
 	add(b.peers.self.Address)
 }
 
-// tellAll tells all neighbours at once: a version has come into force, who is
-// known has changed, or this balancer leaves.
+// tellAll tells all neighbours and those whose neighbour this balancer is at once: a
+// version has come into force, who is known has changed, or this balancer leaves.
 func (b *Balancer) tellAll(now clock.Millis) {
-	n := b.news()
-	n.Chose = true
-	for _, p := range b.peers.Neighbours(now) {
+	for _, p := range b.peers.Concerned(now) {
 		p.told = now
-		b.send(p.Address, &wire.Parcel{Verb: wire.Verb_VERB_NEWS, News: n})
+		b.send(p.Address, &wire.Parcel{Verb: wire.Verb_VERB_NEWS, News: b.news(p.Address)})
 	}
 }
 
@@ -156,11 +154,10 @@
 		return
 	}
 	b.announced = now
-	n := b.news()
-	n.Chose = true
 	for all := range slices.Chunk(b.unannounced, contactsPerParcel) {
-		n.Contacts = all
 		for _, p := range b.peers.Announces(now) {
+			n := b.news(p.Address)
+			n.Contacts = all
 			b.send(p.Address, &wire.Parcel{Verb: wire.Verb_VERB_NEWS, News: n})
 		}
 	}
@@ -188,7 +185,7 @@
 		b.tellContacts(from, n.Known)
 	}
 	if n.Digest != b.digest() && b.peers.Ask(now, from, n.Digest) {
-		q := b.news()
+		q := b.news(from)
 		b.question(q)
 		b.send(from, &wire.Parcel{Verb: wire.Verb_VERB_NEWS, News: q})
 	}
@@ -242,7 +239,7 @@
 	})
 	complete := len(all) <= contactsPerParcel
 	for {
-		n := b.news()
+		n := b.news(to)
 		size := min(len(all), contactsPerParcel)
 		n.Contacts, all = all[:size], all[size:]
 		n.Complete = complete
--- a/internal/process/streambalancer/peers.go
+++ b/internal/process/streambalancer/peers.go
@@ -185,6 +185,12 @@
 	return ""
 }
 
+// Chose reports whether a balancer is a neighbour of this one.
+func (ps *Peers) Chose(at netip.AddrPort) bool {
+	p := ps.known[at]
+	return p != nil && p.chosen != 0
+}
+
 // Each calls f for every peer, in no order.
 func (ps *Peers) Each(f func(*Peer)) {
 	for _, p := range ps.known {
--- a/internal/process/streambalancer/peers_test.go
+++ b/internal/process/streambalancer/peers_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
@@ -172,6 +173,34 @@
 	}
 }
 
+// A target leaves a fleet of hundreds, and balancers learn of it within some ms. One agrees
+// again with its neighbours as soon as they have told it, also those whose neighbour it is
+// not; callers of lost flows wait for that.
+func TestChangeReachesThoseConcerned(t *testing.T) {
+	const count = 91
+	all := make([]*Peers, count)
+	for i := range all {
+		all[i] = heard(i, count)
+	}
+	for i, ps := range all {
+		for _, p := range ps.Neighbours(testNow) {
+			j := slices.IndexFunc(all, func(other *Peers) bool { return other.self.Address == p.Address })
+			chooser := testPeer(i)
+			chooser.Chose = true
+			all[j].Hear(testNow+1, chooser)
+		}
+	}
+	for i, ps := range all {
+		for _, p := range ps.Neighbours(testNow + 2) {
+			j := slices.IndexFunc(all, func(other *Peers) bool { return other.self.Address == p.Address })
+			told := slices.ContainsFunc(all[j].Concerned(testNow+2), func(q *Peer) bool { return q.Address == peerAddress(i) })
+			if !told {
+				t.Fatalf("balancer %d waits for %d, which does not tell it", i, j)
+			}
+		}
+	}
+}
+
 // A balancer that was lost is forgotten after a minute, and one that was only
 // named by others is not forgotten before it could answer.
 func TestForget(t *testing.T) {
--- a/internal/process/streambalancer/return_test.go
+++ b/internal/process/streambalancer/return_test.go
@@ -459,3 +459,35 @@
 		})
 	}
 }
+
+// A target leaves a fleet that is settled. Its balancers agree again within the time for
+// which they must, and not after their next regular news: callers of lost flows wait.
+func TestAgreementAfterDeparture(t *testing.T) {
+	size := fleets[1]
+	f := newReturn(t, size, 0, func(_ int, part float64) float64 { return 300_000 * part })
+	const leaves, patience = 5e6, 700_000
+	f.run(leaves)
+	s := f.all[size.balancers]
+	now := f.tick(s)
+	s.holder.Leave(now)
+	var to []netip.AddrPort
+	for j := range size.balancers {
+		if f.stations[peerAddress(j)].domain == s.domain {
+			to = append(to, peerAddress(j))
+		}
+	}
+	s.holder.Tell(now, to)
+	f.flush(s)
+	f.run(leaves + 50_000)
+	for _, b := range f.all[:size.balancers] {
+		if _, ok := b.balancer.steerer.Targets.Find(s.address); ok {
+			t.Errorf("%s knows the target %d ms after it left", b.address, 50)
+		}
+	}
+	f.run(leaves + patience)
+	for _, b := range f.all[:size.balancers] {
+		if !b.balancer.settled {
+			t.Errorf("%s of %s is not settled again", b.address, b.domain)
+		}
+	}
+}
