--- a/internal/process/streambalancer/calls.go
+++ b/internal/process/streambalancer/calls.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
+	"log"
 	"net"
 	"net/netip"
 	"time"
@@ -24,6 +26,10 @@
 // errBehind means that the asked balancer has no later version.
 var errBehind = errs.New("streambalancer: the peer has no later version")
 
+// quiet keeps the library from writing lines of its own: a peer that goes away in a call
+// is told by the error of the call.
+var quiet = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+
 // tableRequest asks for a version above the one that the asker has.
 type tableRequest struct {
 	Above uint64 `json:"above"`
@@ -57,7 +63,7 @@
 func (b *Balancer) serveCall(ctx context.Context, conn net.Conn) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(conn), jsonrpc2.HandlerWithError(b.handle))
+	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(conn), jsonrpc2.HandlerWithError(b.handle), quiet)
 	defer func() { _ = rpc.Close() }()
 	select {
 	case <-rpc.DisconnectNotify():
@@ -92,7 +98,7 @@
 	}
 	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(conn), jsonrpc2.HandlerWithError(
 		func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) { return nil, nil },
-	))
+	), quiet)
 	defer func() { _ = rpc.Close() }()
 	t := &routing.Table{}
 	if err := rpc.Call(ctx, methodTable, tableRequest{Above: above}, t); err != nil {
