Questions to another failure domain go to its relay, which asks its agents

Now it crosses once for each failure domain; agents there answer the asker, so no word of a relay counts. A relay hands on within the budget of its part of a core. Names are in each fourth summary only.

--- a/internal/connection/stream/asked.go
+++ b/internal/connection/stream/asked.go
@@ -41,7 +41,11 @@
 		}
 		holdings = append(holdings, byte(holding))
 	})
-	h.out.send(from, &wire.Parcel{Verb: wire.Verb_VERB_ANSWER, Number: p.Number, Holdings: holdings})
+	to := from
+	if asker, err := segment.ParseAddress(p.Asker); err == nil {
+		to = asker
+	}
+	h.out.send(to, &wire.Parcel{Verb: wire.Verb_VERB_ANSWER, Number: p.Number, Holdings: holdings})
 }
 
 func (h *Holder) answer(to netip.AddrPort, id segment.Flow, holding wire.Holding) {
--- a/internal/connection/stream/questions.go
+++ b/internal/connection/stream/questions.go
@@ -34,6 +34,9 @@
 	// how many at least: a single search in a failure domain waits for nothing.
 	questionBurst = 0.3
 	leastBurst    = 100.0
+	// handedCost is what a question that a relay hands on takes of the budget: some tens
+	// of answers come back.
+	handedCost = 20.0
 	// farWaits is how much longer questions to other failure domains wait than those
 	// within the own one: most flows never leave it.
 	farWaits = 50 * clock.Millis(1)
@@ -56,16 +59,16 @@
 	number uint32
 	last   clock.Millis
 	swept  clock.Millis
-	// rate and burst bound the parcels, and left is how many may be sent, at the time
-	// filled.
-	rate, burst, left float64
-	filled            clock.Millis
+	budget
 }
 
-// batch is questions to one agent.
+// batch is questions to one agent, or to all agents of another failure domain by way of
+// its relay.
 type batch struct {
 	to netip.AddrPort
-	at clock.Millis
+	// domain is that failure domain; empty for a batch to an agent.
+	domain string
+	at     clock.Millis
 	// since orders the batches that wait.
 	since clock.Millis
 	flows []segment.Flow
@@ -74,18 +77,22 @@
 
 // newQuestions returns the questions of a balancer with a part of a core, in thousandths.
 func newQuestions(share uint32) questions {
-	if share == 0 {
-		share = unknownShare
-	}
-	q := questions{waiting: map[netip.AddrPort]*batch{}, sent: map[uint32]*batch{}}
-	q.rate = questionsPerCore * float64(share) / 1000
-	q.burst = max(q.rate*questionBurst, leastBurst)
-	q.left = q.burst
-	return q
+	return questions{waiting: map[netip.AddrPort]*batch{}, sent: map[uint32]*batch{}, budget: newBudget(share)}
 }
 
 // add asks an agent about a flow; far tells that it is in another failure domain.
 func (q *questions) add(now clock.Millis, to netip.AddrPort, far bool, id segment.Flow, ack uint32) {
+	q.batch(now, to, far).add(id, ack)
+}
+
+// addAll asks all agents of another failure domain by way of its relay.
+func (q *questions) addAll(now clock.Millis, relay netip.AddrPort, domain string, id segment.Flow, ack uint32) {
+	b := q.batch(now, relay, true)
+	b.domain = domain
+	b.add(id, ack)
+}
+
+func (q *questions) batch(now clock.Millis, to netip.AddrPort, far bool) *batch {
 	b := q.waiting[to]
 	if b == nil {
 		b = &batch{to: to, since: now}
@@ -94,6 +101,10 @@
 		}
 		q.waiting[to] = b
 	}
+	return b
+}
+
+func (b *batch) add(id segment.Flow, ack uint32) {
 	if slices.Contains(b.flows, id) {
 		return
 	}
@@ -119,9 +130,7 @@
 		return
 	}
 	q.last = now
-	q.left = min(q.left+q.rate*float64(now.Sub(q.filled))/float64(clock.Second), q.burst)
-	q.filled = now
-	if q.left < 1 {
+	if !q.fill(now) {
 		return
 	}
 	for _, b := range q.oldest() {
@@ -145,14 +154,23 @@
 		if q.left < 1 {
 			return false
 		}
-		q.left--
+		q.left -= b.cost()
 		size := min(len(b.flows), mostQuestions)
-		q.send(now, out, &batch{to: b.to, flows: b.flows[:size], bytes: b.bytes[:size*questionSize]})
+		q.send(now, out, &batch{to: b.to, domain: b.domain, flows: b.flows[:size], bytes: b.bytes[:size*questionSize]})
 		b.flows, b.bytes = b.flows[size:], b.bytes[size*questionSize:]
 	}
 	return true
 }
 
+// cost is what a parcel takes of the budget: one for a question with its answer, and for
+// one that a relay hands on about as much as the answers of a failure domain.
+func (b *batch) cost() float64 {
+	if b.domain == "" {
+		return 1
+	}
+	return handedCost
+}
+
 func (q *questions) send(now clock.Millis, out *Outcome, b *batch) {
 	q.number = max(q.number+1, 1)
 	q.sent[q.number] = b
@@ -160,11 +178,19 @@
 	out.send(b.to, &wire.Parcel{Verb: wire.Verb_VERB_ASK, Number: q.number, Questions: b.bytes})
 }
 
-// asked returns the flows of a question that an agent answers. It is answered
-// once.
-func (q *questions) asked(number uint32, from netip.AddrPort) []segment.Flow {
+// asked returns the flows of a question that an agent of a failure domain answers. An
+// agent that was asked itself answers once.
+func (q *questions) asked(number uint32, from netip.AddrPort, domain string) []segment.Flow {
 	b := q.sent[number]
-	if b == nil || b.to != from {
+	switch {
+	case b == nil:
+		return nil
+	case b.domain != "":
+		if b.domain != domain {
+			return nil
+		}
+		return b.flows
+	case b.to != from:
 		return nil
 	}
 	delete(q.sent, number)
--- a/internal/connection/stream/search.go
+++ b/internal/connection/stream/search.go
@@ -136,10 +136,16 @@
 		}
 		q.open = true
 		x.open++
+		if relay, ok := s.Targets.Relay(now, t.Domain); ok {
+			s.questions.addAll(now, relay, t.Domain, x.id, x.flow.ack)
+			continue
+		}
 		s.question(now, x, t)
 	}
 }
 
+// question asks an agent itself. Those of other failure domains are asked by way of a
+// relay first; one that fails costs the pause until what was not answered is asked again.
 func (s *Steerer) question(now clock.Millis, x *search, t *Target) {
 	s.questions.add(now, t.Address, t.Domain != s.settings.Domain, x.id, x.flow.ack)
 }
--- a/internal/connection/stream/steer.go
+++ b/internal/connection/stream/steer.go
@@ -17,6 +17,8 @@
 	Domain string
 	// Share is its part of a core, in thousandths; zero when not known.
 	Share uint32
+	// Address is where this balancer takes parcels.
+	Address netip.AddrPort
 	// Seed is a number of this balancer's own, for choices between targets that are alike.
 	Seed uint64
 	// Flows is how many flows are remembered. Beyond it the longest unused
@@ -76,6 +78,8 @@
 	// own, and news are those that have changed since they were told last.
 	relay bool
 	news  []*wire.Entry
+	// handing is the budget of questions that this balancer hands on as a relay.
+	handing budget
 	// started is when the process began, and waiting are openings from then on for
 	// which there was no route or target.
 	started clock.Millis
@@ -87,8 +91,8 @@
 func NewSteerer(now clock.Millis, settings Settings) *Steerer {
 	s := &Steerer{
 		settings: settings, started: now, Targets: NewTargets(settings.Domain, settings.Seed),
-		questions: newQuestions(settings.Share),
-		history:   routing.NewHistory(settings.FlowLife.Duration()),
+		questions: newQuestions(settings.Share), handing: newBudget(settings.Share),
+		history: routing.NewHistory(settings.FlowLife.Duration()),
 	}
 	s.flows, _ = simplelru.NewLRU[segment.Flow, *flow](max(settings.Flows, 1), nil)
 	return s
@@ -300,7 +304,11 @@
 		}
 		return
 	}
-	for i, id := range s.questions.asked(p.Number, from) {
+	t, ok := s.Targets.Find(from)
+	if !ok {
+		return
+	}
+	for i, id := range s.questions.asked(p.Number, from, t.Domain) {
 		if i < len(p.Holdings) {
 			s.answered(now, from, id, wire.Holding(p.Holdings[i]))
 		}
--- a/internal/connection/stream/summary.go
+++ b/internal/connection/stream/summary.go
@@ -17,6 +17,9 @@
 	// departedFor is how long summaries name a target that has left: several of them
 	// may be lost.
 	departedFor = 2 * clock.Second
+	// namedEvery is which summary of all targets has their names, which logs want; they
+	// would be a quarter of the bytes.
+	namedEvery = 4
 	// summarySize keeps a part of a summary within one frame.
 	summarySize = 1200
 	// mostNews bounds the changes that wait for the next summary of changes; a summary
@@ -34,6 +37,9 @@
 	parts  map[uint32]bool
 	// complete is when all parts of one were there whose sender knew all targets.
 	complete clock.Millis
+	// relay is the balancer that gathered the last one, at told; none did if that is zero.
+	relay netip.AddrPort
+	told  clock.Millis
 }
 
 // told reports that balancers elsewhere are to be told at once.
@@ -151,7 +157,7 @@
 	return s != nil && s.complete != 0 && now.Sub(s.complete) <= coverFor
 }
 
-// arrived notes a part of a summary of all targets.
+// arrived notes a summary of another failure domain.
 func (ts *Targets) arrived(now clock.Millis, m *wire.Summary) {
 	s := ts.summaries[m.Domain]
 	if s == nil {
@@ -161,6 +167,16 @@
 		s = &summary{}
 		ts.summaries[m.Domain] = s
 	}
+	if relay, err := segment.ParseAddress(m.Relay); err == nil {
+		s.relay, s.told = relay, now
+	}
+	if m.Number != 0 {
+		s.part(now, m)
+	}
+}
+
+// part notes a part of a summary of all targets.
+func (s *summary) part(now clock.Millis, m *wire.Summary) {
 	if s.epoch != m.Epoch || s.number != m.Number {
 		s.epoch, s.number, s.parts = m.Epoch, m.Number, map[uint32]bool{}
 	}
@@ -242,7 +258,13 @@
 // and complete tells that this balancer knows all targets there.
 func (s *Steerer) Summary(now clock.Millis, epoch uint64, number uint32, complete bool) []*wire.Summary {
 	s.news = nil
-	parts := s.parts(s.Targets.summarize(now))
+	entries := s.Targets.summarize(now)
+	if number%namedEvery != 1 {
+		for _, e := range entries {
+			e.Report.Name = ""
+		}
+	}
+	parts := s.parts(entries)
 	for i, p := range parts {
 		p.Epoch, p.Number, p.Complete = epoch, number, complete
 		p.Part, p.Parts = uint32(i), uint32(len(parts))
@@ -256,7 +278,7 @@
 	size := summarySize
 	for _, e := range entries {
 		if n := e.SizeVT(); size+n > summarySize {
-			parts = append(parts, &wire.Summary{Domain: s.settings.Domain})
+			parts = append(parts, s.empty())
 			size = 0
 		}
 		p := parts[len(parts)-1]
@@ -264,11 +286,19 @@
 		size += e.SizeVT()
 	}
 	if len(parts) == 0 {
-		return []*wire.Summary{{Domain: s.settings.Domain}}
+		return []*wire.Summary{s.empty()}
 	}
 	return parts
 }
 
+func (s *Steerer) empty() *wire.Summary {
+	m := &wire.Summary{Domain: s.settings.Domain}
+	if s.settings.Address.IsValid() {
+		m.Relay = segment.AppendAddress(nil, s.settings.Address)
+	}
+	return m
+}
+
 // HearSummary takes a summary of another failure domain.
 func (s *Steerer) HearSummary(now clock.Millis, m *wire.Summary) {
 	if m.Domain == s.settings.Domain {
@@ -283,7 +313,5 @@
 		r.Domain, r.Probe = m.Domain, 0
 		s.changed(now, a, r, s.Targets.Summarized(now, a, r, clock.Millis(e.Age), clock.Millis(e.Silent)))
 	}
-	if m.Number != 0 {
-		s.Targets.arrived(now, m)
-	}
+	s.Targets.arrived(now, m)
 }
--- a/internal/connection/stream/summary_test.go
+++ b/internal/connection/stream/summary_test.go
@@ -218,6 +218,29 @@
 	}
 }
 
+// Names are in one of four summaries, and what is known stays.
+func TestSummaryKeepsNames(t *testing.T) {
+	relay := NewSteerer(0, Settings{Domain: "b", Flows: 100, FlowLife: worldLife})
+	r := ready(1, 1)
+	r.Domain, r.Name = "b", "t0"
+	relay.Hear(testNow, worldAddress(2, 0), &wire.Parcel{Verb: wire.Verb_VERB_REPORT, Report: r}, nil)
+	s := NewSteerer(0, Settings{Domain: "a", Flows: 100, FlowLife: worldLife})
+	named := 0
+	for number := range uint32(8) {
+		part := relay.Summary(testNow, 1, number+1, true)[0]
+		if part.Entries[0].Report.Name != "" {
+			named++
+		}
+		s.HearSummary(testNow, part)
+		if target, _ := s.Targets.Find(worldAddress(2, 0)); target.Name != "t0" {
+			t.Errorf("after summary %d the target is called %q", number+1, target.Name)
+		}
+	}
+	if named != 2 {
+		t.Errorf("%d of 8 summaries have names", named)
+	}
+}
+
 // A failure domain has more targets than one frame takes, and a part of the summary of
 // all of them is lost. The receiver must not believe that it knows all.
 func TestCompleteNeedsAllParts(t *testing.T) {
--- a/internal/connection/stream/target.go
+++ b/internal/connection/stream/target.go
@@ -114,7 +114,10 @@
 	if r.Probe != 0 {
 		t.owed = false
 	}
-	t.Name, t.Domain, t.Service = r.Name, r.Domain, r.Service
+	if r.Name != "" {
+		t.Name = r.Name
+	}
+	t.Domain, t.Service = r.Domain, r.Service
 	t.Epoch, t.Sequence, t.Born = r.Epoch, r.Sequence, r.Born
 	t.Condition = r.Condition
 	t.Slots, t.Flows, t.Busy = int(r.Slots), int(r.Flows), float64(r.Busy)/busyScale
--- a/internal/connection/stream/world_test.go
+++ b/internal/connection/stream/world_test.go
@@ -260,7 +260,7 @@
 // Balancers.
 
 func (w *world) startBalancer(b *worldBalancer) {
-	b.steerer = NewSteerer(w.now, Settings{Domain: b.domain, Flows: 10000, FlowLife: worldLife})
+	b.steerer = NewSteerer(w.now, Settings{Domain: b.domain, Address: b.address, Flows: 10000, FlowLife: worldLife})
 	b.up, b.born, b.knows = true, w.now, 0
 	b.steerer.SetTable(w.now, w.table)
 	s := b.steerer
@@ -340,6 +340,17 @@
 
 func (w *world) sendAgent(b *worldBalancer, s Send) {
 	p := copyParcel(s.Parcel)
+	for _, relay := range w.balancers {
+		if relay.address != s.To {
+			continue
+		}
+		w.network(b.address, relay.address, func() {
+			if relay.up {
+				relay.steerer.HandOn(w.now, b.address, p)
+				w.flushBalancer(relay)
+			}
+		})
+	}
 	for _, a := range w.agents {
 		if a.address != s.To {
 			continue
--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -191,7 +191,7 @@
 	b := &Balancer{
 		settings: settings, deps: deps,
 		steerer: stream.NewSteerer(deps.Clock.Now(), stream.Settings{
-			Domain: settings.Domain, Share: settings.Share,
+			Domain: settings.Domain, Share: settings.Share, Address: settings.Parcels,
 			Seed: xxh3.HashString(settings.Name), Flows: mostFlows, FlowLife: settings.FlowLife,
 		}),
 		record:    decisions.NewRecorder(deps.Log, deps.Scope),
@@ -264,6 +264,8 @@
 		b.takeCheckpoint(from, p.Checkpoint)
 	case wire.Verb_VERB_SUMMARY:
 		b.hearSummary(now, from, p.Summary)
+	case wire.Verb_VERB_ASK:
+		b.steerer.HandOn(now, from, p)
 	default:
 		if t, added := b.steerer.Hear(now, from, p, seg); added {
 			b.announce(now, t)
