--- a/internal/process/streambalancer/neighbours.go
+++ b/internal/process/streambalancer/neighbours.go
@@ -52,7 +52,7 @@
 		}
 	}
 	chosen := append(first(near, nearNeighbours), first(far, farNeighbours)...)
-	for _, p := range ps.relayed(now) {
+	for _, p := range ps.chooseRelays(now) {
 		if !p.Leaving && !p.silent(now) && !slices.Contains(chosen, p) {
 			chosen = append(chosen, p)
 		}
--- a/internal/process/streambalancer/relays.go
+++ b/internal/process/streambalancer/relays.go
@@ -72,9 +72,9 @@
 	return i, i >= 0
 }
 
-// relayed chooses the relays anew and returns those that this balancer tells regularly:
+// chooseRelays chooses the relays anew and returns those that this balancer tells regularly:
 // the ones of its own failure domain and, if it is one of them, the others.
-func (ps *Peers) relayed(now clock.Millis) []*Peer {
+func (ps *Peers) chooseRelays(now clock.Millis) []*Peer {
 	for _, p := range ps.known {
 		p.relay = false
 	}
