A part of a process that panics is told in the line that was meant for it

Cause: recover was called in a function that a deferred function calls, where it returns nothing, so the line of a panic was never written; the test had deferred it directly. TestPartThatPanics goes through a group of parts and fails without this (the runtime ends the test).

--- a/internal/process/tasks/crash.go
+++ b/internal/process/tasks/crash.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"os"
 	"runtime/debug"
 	"strings"
 
@@ -16,7 +15,8 @@
 // stackLines is how much of the stack is told: the frames around the cause.
 const stackLines = 40
 
-// crash ends the process after a panic in a part, with one line that tells its cause.
+// crash ends the process after a panic in a part, with one line that tells its cause. It
+// must itself be deferred: called by another deferred function it would recover nothing.
 //
 // A decision that panics may leave half of its state behind, so going on could send
 // packets wrongly. What a process knows is soft: the one that follows finds it anew. The
@@ -39,7 +39,3 @@
 		Strs("stack", lines[:min(len(lines), stackLines)]).Msg("the process ends")
 	exit(crashCode)
 }
-
-func crashed() {
-	crash(os.Stderr, os.Exit)
-}
--- a/internal/process/tasks/crash_test.go
+++ b/internal/process/tasks/crash_test.go
@@ -39,6 +39,19 @@
 	}
 }
 
+// A part of a process panics: the process ends with the line, not with the runtime's own
+// report of all that runs.
+func TestPartThatPanics(t *testing.T) {
+	var out bytes.Buffer
+	code := 0
+	g := Group{out: &out, exit: func(c int) { code = c }}
+	g.Go(panicHere)
+	g.Wait()
+	if code != crashCode || !strings.Contains(out.String(), `"event":"panic"`) {
+		t.Errorf("code %d, told %q", code, out.String())
+	}
+}
+
 func panicHere() {
 	var nobody netip.Addr
 	nobody.As4()
--- a/internal/process/tasks/tasks.go
+++ b/internal/process/tasks/tasks.go
@@ -9,7 +9,11 @@
 //	g.Wait() // no part starts after this
 package tasks
 
-import "sync"
+import (
+	"io"
+	"os"
+	"sync"
+)
 
 // Group is a set of running parts. The zero value is ready for use.
 //
@@ -20,6 +24,9 @@
 	mu     sync.Mutex
 	closed bool
 	wait   sync.WaitGroup
+	// out and exit stand in for standard error and the process's end in tests.
+	out  io.Writer
+	exit func(code int)
 }
 
 // Go runs a part, unless the group is waited for, and reports that.
@@ -32,12 +39,26 @@
 	g.wait.Add(1)
 	go func() {
 		defer g.wait.Done()
-		defer crashed()
+		defer crash(g.output(), g.end())
 		part()
 	}()
 	return true
 }
 
+func (g *Group) output() io.Writer {
+	if g.out == nil {
+		return os.Stderr
+	}
+	return g.out
+}
+
+func (g *Group) end() func(code int) {
+	if g.exit == nil {
+		return os.Exit
+	}
+	return g.exit
+}
+
 // Wait closes the group and waits until all parts have ended.
 func (g *Group) Wait() {
 	g.mu.Lock()
