Questions that wait are bounded by the searches under way

Found on reading the change again: questions over the budget wait, and those of searches that had ended meanwhile stayed, so packets of ever new flows let the waiting lists grow without a bound, and the budget was spent on questions that nobody waited for. They are taken out as a list grows and before it is sent. TestWaitingQuestionsAreBounded fails without it.

--- a/internal/connection/stream/empty_test.go
+++ b/internal/connection/stream/empty_test.go
@@ -18,7 +18,7 @@
 // says asks an agent about a flow.
 func says(h *Holder, now clock.Millis) wire.Holding {
 	h.Take()
-	q := newQuestions(0)
+	q := newQuestions(0, always)
 	q.add(now, worldAddress(2, 0), false, segment.Flow{Caller: worldAddress(100, 0), Listener: worldListener}, 7)
 	var out Outcome
 	q.flush(now, 0, &out)
--- a/internal/connection/stream/handon_test.go
+++ b/internal/connection/stream/handon_test.go
@@ -9,6 +9,9 @@
 	"github.com/wagtailtray/wagtailtray/pkg/wire"
 )
 
+// always stands in for searches that never end.
+func always(segment.Flow) bool { return true }
+
 var testRelay = worldAddress(1, 9)
 
 // relayed returns a balancer in failure domain a that has begun a search, with one target
@@ -108,7 +111,7 @@
 // Anybody may answer: what an agent of another failure domain than the one that was asked
 // says of these flows does not count.
 func TestAnswerOfOtherDomain(t *testing.T) {
-	q := newQuestions(0)
+	q := newQuestions(0, always)
 	id := segment.Flow{Caller: testFlow.Caller, Listener: testFlow.Listener}
 	q.addAll(testNow, testRelay, "b", id, 7)
 	var out Outcome
--- a/internal/connection/stream/questions.go
+++ b/internal/connection/stream/questions.go
@@ -24,9 +24,8 @@
 	questionSize = 16
 	// mostQuestions keeps a parcel of questions within one frame.
 	mostQuestions = 80
-	// questionsPerCore is how many parcels of questions a second a whole core may send.
-	// With the answers that is some third of its time, and the rest is for flows that
-	// are well.
+	// questionsPerCore is how many parcels of questions a second a whole core may send:
+	// the answers come on top, and most of its time is for flows that are well.
 	questionsPerCore = 6000.0
 	// unknownShare stands in for a part of a core that is not known, in thousandths.
 	unknownShare = 250
@@ -59,6 +58,8 @@
 	number uint32
 	last   clock.Millis
 	swept  clock.Millis
+	// searched tells whether the owner of a flow is still searched.
+	searched func(segment.Flow) bool
 	budget
 }
 
@@ -73,29 +74,33 @@
 	since clock.Millis
 	flows []segment.Flow
 	bytes []byte
+	// most is from how many flows on those are looked for whose searches are over.
+	most int
 }
 
 // newQuestions returns the questions of a balancer with a part of a core, in thousandths.
-func newQuestions(share uint32) questions {
-	return questions{waiting: map[netip.AddrPort]*batch{}, sent: map[uint32]*batch{}, budget: newBudget(share)}
+func newQuestions(share uint32, searched func(segment.Flow) bool) questions {
+	return questions{
+		waiting: map[netip.AddrPort]*batch{}, sent: map[uint32]*batch{}, searched: searched, budget: newBudget(share),
+	}
 }
 
 // add asks an agent about a flow; far tells that it is in another failure domain.
 func (q *questions) add(now clock.Millis, to netip.AddrPort, far bool, id segment.Flow, ack uint32) {
-	q.batch(now, to, far).add(id, ack)
+	q.put(q.batch(now, to, far), id, ack)
 }
 
 // addAll asks all agents of another failure domain by way of its relay.
 func (q *questions) addAll(now clock.Millis, relay netip.AddrPort, domain string, id segment.Flow, ack uint32) {
 	b := q.batch(now, relay, true)
 	b.domain = domain
-	b.add(id, ack)
+	q.put(b, id, ack)
 }
 
 func (q *questions) batch(now clock.Millis, to netip.AddrPort, far bool) *batch {
 	b := q.waiting[to]
 	if b == nil {
-		b = &batch{to: to, since: now}
+		b = &batch{to: to, since: now, most: mostQuestions}
 		if far {
 			b.since += farWaits
 		}
@@ -104,15 +109,35 @@
 	return b
 }
 
-func (b *batch) add(id segment.Flow, ack uint32) {
+// put adds a question to a batch. Those of ended searches are taken out as it grows, so
+// that it has no more than there may be searches, twice over.
+func (q *questions) put(b *batch, id segment.Flow, ack uint32) {
 	if slices.Contains(b.flows, id) {
 		return
 	}
+	if len(b.flows) >= b.most {
+		q.prune(b)
+		b.most = max(2*len(b.flows), mostQuestions)
+	}
 	b.flows = append(b.flows, id)
 	b.bytes = segment.AppendFlow(b.bytes, id)
 	b.bytes = binary.BigEndian.AppendUint32(b.bytes, ack)
 }
 
+// prune takes the questions out whose searches are over.
+func (q *questions) prune(b *batch) {
+	kept := 0
+	for i, id := range b.flows {
+		if !q.searched(id) {
+			continue
+		}
+		b.flows[kept] = id
+		copy(b.bytes[kept*questionSize:], b.bytes[i*questionSize:(i+1)*questionSize])
+		kept++
+	}
+	b.flows, b.bytes = b.flows[:kept], b.bytes[:kept*questionSize]
+}
+
 // behind reports that questions wait because the budget is spent.
 func (q *questions) behind() bool {
 	return len(q.waiting) > 0 && q.left < 1
@@ -150,6 +175,7 @@
 
 // sendAll sends a batch in parcels, and reports whether the budget sufficed.
 func (q *questions) sendAll(now clock.Millis, b *batch, out *Outcome) bool {
+	q.prune(b)
 	for len(b.flows) > 0 {
 		if q.left < 1 {
 			return false
--- a/internal/connection/stream/search_test.go
+++ b/internal/connection/stream/search_test.go
@@ -268,7 +268,7 @@
 func TestQuestionsWithinShare(t *testing.T) {
 	const near, far, flows, share = 41, 163, 40, 60
 	s, _ := searching(t, near, far)
-	s.questions = newQuestions(share)
+	s.questions = newQuestions(share, s.searching)
 	s.Take()
 	ask := func(i int, now clock.Millis) {
 		packet := encode(segment.Segment{
@@ -346,6 +346,41 @@
 	}
 }
 
+// Packets of ever new flows that nobody holds come in faster than their questions can be
+// sent. What waits stays within what is searched, and no parcel asks about a flow whose
+// search is over.
+func TestWaitingQuestionsAreBounded(t *testing.T) {
+	s, _ := searching(t, 2, 60)
+	s.flows.Resize(6 * mostSearches)
+	s.questions = newQuestions(10, s.searching)
+	now, vain := testNow, 0
+	for i := range 20_000 {
+		packet := encode(segment.Segment{
+			Source: worldAddress(100+i>>16, i), Destination: worldListener, Flags: segment.Acks, Seq: 1, Ack: 9, Size: 100,
+		})
+		s.Arrive(now, decode(packet), packet)
+		if i%5 == 0 {
+			now++
+			s.Tick(now)
+		}
+		for _, send := range s.Take().Sends {
+			eachQuestion(send.Parcel.Questions, func(id segment.Flow, _ uint32) {
+				if !s.searching(id) {
+					vain++
+				}
+			})
+		}
+		for _, b := range s.questions.waiting {
+			if len(b.flows) > 2*s.room()+mostQuestions {
+				t.Fatalf("%d questions wait for one target", len(b.flows))
+			}
+		}
+	}
+	if vain > 0 {
+		t.Errorf("%d questions were about flows whose searches were over", vain)
+	}
+}
+
 // A target far away is unsure as well, and hundreds of flows are searched. What may
 // be handed over goes to the own failure domain first, which most flows never
 // leave; a single search far away still gets its packet through.
--- a/internal/connection/stream/steer.go
+++ b/internal/connection/stream/steer.go
@@ -91,9 +91,9 @@
 func NewSteerer(now clock.Millis, settings Settings) *Steerer {
 	s := &Steerer{
 		settings: settings, started: now, Targets: NewTargets(settings.Domain, settings.Seed),
-		questions: newQuestions(settings.Share), handing: newBudget(settings.Share),
-		history: routing.NewHistory(settings.FlowLife.Duration()),
+		handing: newBudget(settings.Share), history: routing.NewHistory(settings.FlowLife.Duration()),
 	}
+	s.questions = newQuestions(settings.Share, s.searching)
 	s.flows, _ = simplelru.NewLRU[segment.Flow, *flow](max(settings.Flows, 1), nil)
 	return s
 }
@@ -150,6 +150,12 @@
 	return s.flows.Len()
 }
 
+// searching reports whether a flow's owner is searched.
+func (s *Steerer) searching(id segment.Flow) bool {
+	f, ok := s.flows.Peek(id)
+	return ok && f.search != nil
+}
+
 // Searches returns how many searches are under way.
 func (s *Steerer) Searches() int {
 	return len(s.searches)
