What a balancer has told does not stand for one that hears more

Found on reading the change again: an answer to a question for contacts counted for all balancers with the same digest over the targets that they have heard. A balancer that is cut off from a target keeps it in its digest and does not name it, so a starting one that asked only that one counted as knowing all that others know, could settle, and reset flows of the target.

Now the view of the targets has both: those heard, and those of them taken for lost; one answer stands only for the same view. A target that all take for lost still costs one question. TestAnswerWithoutLostTarget fails with the digest alone.

--- a/internal/process/streambalancer/agreement.go
+++ b/internal/process/streambalancer/agreement.go
@@ -27,15 +27,21 @@
 	// any. A new target is told at once; the question repairs what was lost.
 	askEvery = 500 * clock.Millis(1)
 	askPause = 150 * clock.Millis(1)
-	// mostCovered bounds the digests that are remembered.
+	// mostCovered bounds the views that are remembered.
 	mostCovered = 256
 )
 
-// Ask reports whether a balancer that knows other targets than this one is to be
-// asked for them now, and notes that it is.
-func (ps *Peers) Ask(now clock.Millis, a netip.AddrPort, digest uint64) bool {
+// View is what a balancer knows of the targets: a hash over those that it has heard, and
+// one over those of them that it takes for lost, and names to nobody.
+type View struct {
+	Digest, Lost uint64
+}
+
+// Ask reports whether a balancer with another view than this one is to be asked for its
+// targets now, and notes that it is.
+func (ps *Peers) Ask(now clock.Millis, a netip.AddrPort, v View) bool {
 	p := ps.known[a]
-	return p != nil && !ps.covers(digest) && ps.mayAsk(now, p)
+	return p != nil && !ps.covers(v) && ps.mayAsk(now, p)
 }
 
 // mayAsk reports whether it is time to ask a balancer for contacts, and notes that it is
@@ -48,17 +54,19 @@
 	return true
 }
 
-// Covered notes that this balancer knows all that others do at a digest.
-func (ps *Peers) Covered(now clock.Millis, digest uint64) {
+// Covered notes that this balancer knows all that others with a view do.
+//
+// The lost ones are part of it: a balancer that is cut off from a target does not name it,
+// and one that hears it must still be asked.
+func (ps *Peers) Covered(v View) {
 	if len(ps.covered) >= mostCovered {
 		clear(ps.covered)
 	}
-	ps.covered[digest] = now
+	ps.covered[v] = true
 }
 
-func (ps *Peers) covers(digest uint64) bool {
-	_, ok := ps.covered[digest]
-	return ok
+func (ps *Peers) covers(v View) bool {
+	return ps.covered[v]
 }
 
 // Settled reports that this balancer has known all targets that its neighbours
@@ -74,7 +82,7 @@
 func (ps *Peers) Settled(now clock.Millis, digest uint64, complete func(domain string) bool) bool {
 	ps.vouched = ps.vouched || ps.vouch(now, digest)
 	for _, p := range ps.Neighbours(now) {
-		if p.Digest != digest && !ps.covers(p.Digest) {
+		if p.Digest != digest && !ps.covers(p.View) {
 			ps.agreed = 0
 			return false
 		}
@@ -108,7 +116,7 @@
 // that this one does not.
 func (ps *Peers) vouch(now clock.Millis, digest uint64) bool {
 	for _, p := range ps.known {
-		known := p.Digest == digest || ps.covers(p.Digest)
+		known := p.Digest == digest || ps.covers(p.View)
 		if p.Settled && known && now.Sub(p.Heard) <= peerLive {
 			return true
 		}
--- a/internal/process/streambalancer/news.go
+++ b/internal/process/streambalancer/news.go
@@ -27,10 +27,12 @@
 // news is what this balancer tells another one. The lock is held.
 func (b *Balancer) news(to netip.AddrPort) *wire.News {
 	self := &b.peers.self
+	view := b.view()
 	return &wire.News{
 		Chose: b.peers.Chose(to),
 		Self:  peerContact(self),
-		Epoch: self.Epoch, Digest: b.digest(), Watching: b.watching, Leaving: b.leaving, Settled: b.settled,
+		Epoch: self.Epoch, Digest: view.Digest, Lost: view.Lost, Watching: b.watching, Leaving: b.leaving,
+		Settled: b.settled,
 		Version: b.version(),
 	}
 }
@@ -69,22 +71,28 @@
 	return xxh3.Hash(segment.AppendAddress(room[:0], a))
 }
 
-// digest is a hash over the targets that this balancer has heard. Two balancers
-// with the same digest have nothing to tell each other. A target that has fallen
-// silent stays in it: balancers notice that at different times.
-func (b *Balancer) digest() uint64 {
-	var sum uint64
+// view is what this balancer knows of the targets. Two balancers with the same digest have
+// nothing to tell each other. A target that has fallen silent stays in it: balancers notice
+// that at different times.
+func (b *Balancer) view() View {
+	now := b.deps.Clock.Now()
+	v := View{}
 	b.steerer.Targets.Each(func(t *stream.Target) {
-		if t.Heard != 0 {
-			sum ^= hash(t.Address)
+		if t.Heard == 0 {
+			return
+		}
+		h := hash(t.Address)
+		v.Digest ^= h
+		if t.Lost(now) {
+			v.Lost ^= h
 		}
 	})
-	return sum
+	return v
 }
 
 // tellNews tells the neighbours that are due. The lock is held.
 func (b *Balancer) tellNews(now clock.Millis) {
-	digest := b.digest()
+	digest := b.view().Digest
 	if digest != b.told && now.Sub(b.toldAt) > newsSoon {
 		b.told, b.toldAt = digest, now
 		b.tellAll(now)
@@ -171,11 +179,12 @@
 	}
 	fresh := b.peers.Hear(now, Peer{
 		Address: from, Name: n.Self.Name, Domain: n.Self.Domain, Share: n.Self.Share, Epoch: n.Epoch, Version: n.Version,
-		Watching: n.Watching, Leaving: n.Leaving, Settled: n.Settled, Digest: n.Digest, Chose: n.Chose,
+		Watching: n.Watching, Leaving: n.Leaving, Settled: n.Settled, Chose: n.Chose,
+		View: View{Digest: n.Digest, Lost: n.Lost},
 	})
 	learned := b.learn(now, from, n.Contacts)
 	if n.Complete && !learned {
-		b.peers.Covered(now, n.Digest)
+		b.peers.Covered(View{Digest: n.Digest, Lost: n.Lost})
 	}
 	if fresh {
 		b.deps.Log.Info().Str("event", "peer").Stringer("peer", from).Str("name", n.Self.Name).
@@ -184,7 +193,7 @@
 	if n.Ask {
 		b.tellContacts(from, n.Known)
 	}
-	if n.Digest != b.digest() && b.peers.Ask(now, from, n.Digest) {
+	if n.Digest != b.view().Digest && b.peers.Ask(now, from, View{Digest: n.Digest, Lost: n.Lost}) {
 		q := b.news(from)
 		b.question(q)
 		b.send(from, &wire.Parcel{Verb: wire.Verb_VERB_NEWS, News: q})
--- a/internal/process/streambalancer/peers.go
+++ b/internal/process/streambalancer/peers.go
@@ -37,8 +37,8 @@
 	Share   uint32
 	Epoch   uint64
 	Version uint64
-	// Digest is a hash over the targets that it hears.
-	Digest uint64
+	// View is what it knows of the targets.
+	View
 	// Watching tells that it reads the platform's changes.
 	Watching bool
 	Leaving  bool
@@ -91,8 +91,8 @@
 	led clock.Millis
 	// vouched tells that a settled balancer has told this one all targets.
 	vouched bool
-	// covered are digests of others at which this balancer knew all that they knew.
-	covered map[uint64]clock.Millis
+	// covered are views of others that this balancer knows all of.
+	covered map[View]bool
 	// asked is when another balancer was asked for contacts last.
 	asked clock.Millis
 	// sorted is the peers by address; nil after a change. neighbours are the last ones,
@@ -107,7 +107,7 @@
 // NewPeers returns the peers of a balancer that has just started.
 func NewPeers(now clock.Millis, self Peer, seeds []netip.AddrPort) *Peers {
 	ps := &Peers{
-		self: self, started: now, known: map[netip.AddrPort]*Peer{}, covered: map[uint64]clock.Millis{},
+		self: self, started: now, known: map[netip.AddrPort]*Peer{}, covered: map[View]bool{},
 	}
 	ps.Seed(now, seeds)
 	return ps
@@ -169,7 +169,7 @@
 	}
 	p.Name, p.Domain, p.Share, p.Epoch, p.Version = n.Name, n.Domain, n.Share, n.Epoch, n.Version
 	p.Watching, p.Leaving, p.Settled = n.Watching, n.Leaving, n.Settled
-	p.Digest, p.Chose = n.Digest, n.Chose
+	p.View, p.Chose = n.View, n.Chose
 	p.Heard = now
 	if moved {
 		ps.add(p)
--- a/internal/process/streambalancer/peers_test.go
+++ b/internal/process/streambalancer/peers_test.go
@@ -156,10 +156,10 @@
 	if ps.Settled(testNow, 5, everywhere) {
 		t.Error("settled beside a neighbour that knows others")
 	}
-	if !ps.Ask(testNow, other.Address, other.Digest) || ps.Ask(testNow+1, other.Address, other.Digest) {
+	if !ps.Ask(testNow, other.Address, other.View) || ps.Ask(testNow+1, other.Address, other.View) {
 		t.Error("want one question, and no second one at once")
 	}
-	ps.Covered(testNow, other.Digest)
+	ps.Covered(other.View)
 	ps.Settled(testNow+10, 5, everywhere)
 	at := testNow + 10 + settleTime + 1
 	tell(at)
--- a/internal/process/streambalancer/relays_test.go
+++ b/internal/process/streambalancer/relays_test.go
@@ -186,12 +186,34 @@
 		p := testPeer(2 + i)
 		p.Digest = 7
 		ps.Hear(testNow, p)
-		if ps.Ask(testNow, p.Address, p.Digest) {
+		if ps.Ask(testNow, p.Address, p.View) {
 			asked++
-			ps.Covered(testNow, p.Digest)
+			ps.Covered(p.View)
 		}
 	}
 	if asked != 1 {
 		t.Errorf("%d balancers were asked", asked)
 	}
 }
+
+// A balancer is cut off from a target, takes it for lost and names all others. Another one
+// has heard the same targets and still hears that one: what the first one has told does not
+// stand for it, or flows of the target would be taken for nobody's.
+func TestAnswerWithoutLostTarget(t *testing.T) {
+	ps := NewPeers(testNow-clock.Minute, testPeer(1), nil)
+	cut, well := testPeer(0), testPeer(2)
+	cut.View, well.View = View{Digest: 7, Lost: 3}, View{Digest: 7}
+	ps.Hear(testNow, cut)
+	ps.Covered(cut.View)
+	ps.Hear(testNow, well)
+	if !ps.Ask(testNow+askPause, well.Address, well.View) {
+		t.Error("the balancer that hears the target is not asked")
+	}
+	ps.Settled(testNow+askPause, 5, everywhere)
+	later := testNow + askPause + settleTime + 1
+	ps.Hear(later, cut)
+	ps.Hear(later, well)
+	if ps.Settled(later, 5, everywhere) {
+		t.Error("settled without the target")
+	}
+}
