--- a/internal/connection/stream/summary.go
+++ b/internal/connection/stream/summary.go
@@ -17,8 +17,7 @@
 	// departedFor is how long summaries name a target that has left: several of them
 	// may be lost.
 	departedFor = 2 * clock.Second
-	// namedEvery is which summary of all targets has their names, which logs want; they
-	// would be a quarter of the bytes.
+	// namedEvery is which summary of all targets has their names: only logs want them.
 	namedEvery = 4
 	// summarySize keeps a part of a summary within one frame.
 	summarySize = 1200
--- a/internal/process/streamagent/tell.go
+++ b/internal/process/streamagent/tell.go
@@ -46,8 +46,12 @@
 			continue
 		}
 		pause, ok := a.tellPause(now, b)
-		if all || ok && now.Sub(b.told) >= pause {
-			b.told, b.pause = now, pause
+		due := ok && now.Sub(b.told) >= pause
+		if due {
+			b.pause = pause
+		}
+		if all || due {
+			b.told = now
 			to = append(to, address)
 		}
 	}
--- a/internal/process/streambalancer/agreement.go
+++ b/internal/process/streambalancer/agreement.go
@@ -9,8 +9,8 @@
 
 const (
 	// settleTime is how long this balancer must have known all that its neighbours
-	// know. News of a new target come from each balancer that hears it, within
-	// some 20 ms.
+	// know: a new target changes the digest of each balancer that hears it, which its
+	// neighbours are told within some 100 ms.
 	settleTime = 400 * clock.Millis(1)
 	// vouchedStart is how long a balancer may not have heard of everybody after its
 	// start if a settled one has told it all targets: what is new comes by itself.
--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -10,7 +10,9 @@
 //   - the parcel socket speaks to agents and other balancers;
 //   - a listener at the same port gives the routing table to other balancers;
 //   - the configuration is watched in the platform by one balancer of each
-//     failure domain, and told to the others.
+//     failure domain, and told to the others;
+//   - two balancers of each failure domain are its relays: they tell the other ones
+//     of its targets, and hand on what those tell.
 //
 // Life spans: a packet's buffer lives until it is sent on; what is remembered of
 // a flow is soft, and losing it costs a search; the routing table lives until
@@ -147,6 +149,8 @@
 	unsent    tally.Counter
 	traffic   *parcels.Traffic
 	forwarded tally.Counter
+	// refused counts questions of other failure domains that were not handed on.
+	refused tally.Counter
 	// updated wakes the loop that reads the platform.
 	updated chan struct{}
 	cancel  context.CancelFunc
@@ -197,7 +201,8 @@
 		record:    decisions.NewRecorder(deps.Log, deps.Scope),
 		malformed: decisions.NewMalformed(deps.Log, deps.Scope), unsent: deps.Scope.Counter("unsent"),
 		traffic:   parcels.NewTraffic(deps.Log, deps.Scope),
-		forwarded: deps.Scope.Counter("packets"), updated: make(chan struct{}, 1),
+		forwarded: deps.Scope.Counter("packets"), refused: deps.Scope.Counter("handon_refused"),
+		updated: make(chan struct{}, 1),
 	}
 	b.keeper = checkpoint.NewKeeper(settings.Checkpoint)
 	b.peers = NewPeers(deps.Clock.Now(), Peer{
@@ -265,7 +270,9 @@
 	case wire.Verb_VERB_SUMMARY:
 		b.hearSummary(now, from, p.Summary)
 	case wire.Verb_VERB_ASK:
-		b.steerer.HandOn(now, from, p)
+		if !b.steerer.HandOn(now, from, p) {
+			b.refused.Inc(1)
+		}
 	default:
 		if t, added := b.steerer.Hear(now, from, p, seg); added {
 			b.announce(now, t)
--- a/internal/process/streambalancer/relays.go
+++ b/internal/process/streambalancer/relays.go
@@ -39,12 +39,12 @@
 	return p.Leaving || p.silent(now)
 }
 
-// Relays returns the relays of each failure domain, the first ones by rank, also this
+// ranked returns the relays of each failure domain, the first ones by rank, also this
 // balancer itself where it is one.
 //
 // Views differ for a moment where a balancer comes or goes. Then three tell or none, which
 // costs some datagrams, or some probes.
-func (ps *Peers) Relays(now clock.Millis) map[string][]*Peer {
+func (ps *Peers) ranked(now clock.Millis) map[string][]*Peer {
 	candidates := map[string][]*Peer{}
 	if !ps.self.Leaving {
 		candidates[ps.self.Domain] = []*Peer{&ps.self}
@@ -78,7 +78,7 @@
 	for _, p := range ps.known {
 		p.relay = false
 	}
-	ps.relays = ps.Relays(now)
+	ps.relays = ps.ranked(now)
 	own := ps.relays[ps.self.Domain]
 	self := slices.Contains(own, &ps.self)
 	var all []*Peer
