An address that is used again is known again, also where a clock was set back

Found on reading the change again. A balancer takes a target that left back only on a later report. Targets elsewhere are known by summaries now, so one that takes the address of another, with an agent whose start lies before the other one's since its VM's clock was set back, stayed unknown for a minute; and as hearsay of it was refused, but counted as nothing new, the balancer could settle without it and reset its flows.

A summary that comes three seconds after a target left tells of another one, and what is refused as hearsay counts as not known. TestAddressReusedAfterClockStep fails without either. The view of the targets is computed once for all that are told.

--- a/internal/connection/stream/summary.go
+++ b/internal/connection/stream/summary.go
@@ -17,6 +17,10 @@
 	// departedFor is how long summaries name a target that has left: several of them
 	// may be lost.
 	departedFor = 2 * clock.Second
+	// lateFor is how late a summary may be that still tells of a target as it was before it
+	// left. What says later that it is there tells of another one, also where the clock of
+	// its VM was set back meanwhile.
+	lateFor = 3 * clock.Second
 	// namedEvery is which summary of all targets has their names: only logs want them.
 	namedEvery = 4
 	// summarySize keeps a part of a summary within one frame.
@@ -112,7 +116,7 @@
 // Summaries come late, twice and from several balancers; the agents' epochs and counts of
 // reports tell which one is later. One of an earlier process says nothing of this one.
 func (ts *Targets) Summarized(now clock.Millis, a netip.AddrPort, r *wire.Report, age, silent clock.Millis) Change {
-	if d, ok := ts.left[a]; ok && !after(r, d.report) {
+	if d, ok := ts.left[a]; ok && !after(r, d.report) && now.Sub(d.at) < lateFor {
 		return Change{}
 	}
 	t, known := ts.known[a]
--- a/internal/connection/stream/summary_test.go
+++ b/internal/connection/stream/summary_test.go
@@ -133,6 +133,30 @@
 	}
 }
 
+// A target leaves and another one takes its address, on a VM whose clock was set back, so
+// its agent's start lies before that of the one that left. It must become known all the
+// same, and until then the balancer must not take itself to know all that others name.
+func TestAddressReusedAfterClockStep(t *testing.T) {
+	s := summarized(t, 1)
+	at := worldAddress(2, 0)
+	gone := ready(9, 5)
+	gone.Condition = wire.Condition_CONDITION_GONE
+	s.HearSummary(testNow, changeOf(0, gone, 0))
+	now := testNow + clock.Second
+	s.HearSummary(now, changeOf(0, ready(2, 1), 0))
+	if _, ok := s.Targets.Find(at); ok {
+		t.Error("a summary of before took the target back")
+	}
+	if !s.Targets.Learn(now, at, "t0", "b", "one") {
+		t.Error("a target that others name counts as known")
+	}
+	now = testNow + lateFor
+	s.HearSummary(now, changeOf(0, ready(2, 8), 0))
+	if target, ok := s.Targets.Find(at); !ok || !target.Opens(now) {
+		t.Errorf("the target that is there now: %+v", target)
+	}
+}
+
 // An agent is started anew and only a balancer elsewhere remembers the process before,
 // which opened flows that the new one never saw. It asks the agent once itself, so that
 // the agent does not deny them.
--- a/internal/connection/stream/targets.go
+++ b/internal/connection/stream/targets.go
@@ -128,14 +128,15 @@
 	}
 }
 
-// Learn adds a target on hearsay. It is probed before it is used. A target that
-// left a short while ago is not taken back: the teller may not know yet.
+// Learn adds a target on hearsay, and reports whether it was not known. It is probed before
+// it is used. One that left a short while ago is not taken back, for the teller may not know
+// yet; nor does it count as known, for another one may be there by now.
 func (ts *Targets) Learn(now clock.Millis, a netip.AddrPort, name, domain, service string) bool {
 	if _, ok := ts.known[a]; ok || len(ts.known) >= mostTargets {
 		return false
 	}
 	if ts.Left(now, a) {
-		return false
+		return true
 	}
 	ts.put(&Target{Address: a, Name: name, Domain: domain, Service: service, learned: now})
 	return true
--- a/internal/process/streambalancer/news.go
+++ b/internal/process/streambalancer/news.go
@@ -24,10 +24,10 @@
 // contactsPerParcel keeps a parcel with contacts below a few frames.
 const contactsPerParcel = 60
 
-// news is what this balancer tells another one. The lock is held.
-func (b *Balancer) news(to netip.AddrPort) *wire.News {
+// news is what this balancer, with a view of the targets, tells another one. The lock is
+// held.
+func (b *Balancer) news(view View, to netip.AddrPort) *wire.News {
 	self := &b.peers.self
-	view := b.view()
 	return &wire.News{
 		Chose: b.peers.Chose(to),
 		Self:  peerContact(self),
@@ -92,7 +92,8 @@
 
 // tellNews tells the neighbours that are due. The lock is held.
 func (b *Balancer) tellNews(now clock.Millis) {
-	digest := b.view().Digest
+	view := b.view()
+	digest := view.Digest
 	if digest != b.told && now.Sub(b.toldAt) > newsSoon {
 		b.told, b.toldAt = digest, now
 		b.tellAll(now)
@@ -102,7 +103,7 @@
 		return b.steerer.Targets.Complete(now, domain)
 	}))
 	for _, p := range b.peers.Due(now) {
-		n := b.news(p.Address)
+		n := b.news(view, p.Address)
 		if p.Heard == 0 && b.peers.mayAsk(now, p) {
 			b.question(n)
 		}
@@ -139,9 +140,10 @@
 // tellAll tells all neighbours and those whose neighbour this balancer is at once: a
 // version has come into force, who is known has changed, or this balancer leaves.
 func (b *Balancer) tellAll(now clock.Millis) {
+	view := b.view()
 	for _, p := range b.peers.Concerned(now) {
 		p.told = now
-		b.send(p.Address, &wire.Parcel{Verb: wire.Verb_VERB_NEWS, News: b.news(p.Address)})
+		b.send(p.Address, &wire.Parcel{Verb: wire.Verb_VERB_NEWS, News: b.news(view, p.Address)})
 	}
 }
 
@@ -162,9 +164,10 @@
 		return
 	}
 	b.announced = now
+	view := b.view()
 	for all := range slices.Chunk(b.unannounced, contactsPerParcel) {
 		for _, p := range b.peers.Announces(now) {
-			n := b.news(p.Address)
+			n := b.news(view, p.Address)
 			n.Contacts = all
 			b.send(p.Address, &wire.Parcel{Verb: wire.Verb_VERB_NEWS, News: n})
 		}
@@ -193,8 +196,9 @@
 	if n.Ask {
 		b.tellContacts(from, n.Known)
 	}
-	if n.Digest != b.view().Digest && b.peers.Ask(now, from, View{Digest: n.Digest, Lost: n.Lost}) {
-		q := b.news(from)
+	view, theirs := b.view(), View{Digest: n.Digest, Lost: n.Lost}
+	if view.Digest != theirs.Digest && b.peers.Ask(now, from, theirs) {
+		q := b.news(view, from)
 		b.question(q)
 		b.send(from, &wire.Parcel{Verb: wire.Verb_VERB_NEWS, News: q})
 	}
@@ -247,8 +251,9 @@
 		}
 	})
 	complete := len(all) <= contactsPerParcel
+	view := b.view()
 	for {
-		n := b.news(to)
+		n := b.news(view, to)
 		size := min(len(all), contactsPerParcel)
 		n.Contacts, all = all[:size], all[size:]
 		n.Complete = complete
