--- a/internal/connection/stream/summary.go
+++ b/internal/connection/stream/summary.go
@@ -28,9 +28,10 @@
 	// mostNews bounds the changes that wait for the next summary of changes; a summary
 	// of all targets tells what is over it.
 	mostNews = 1024
-	// mostSummaries bounds the failure domains whose summaries are remembered. Anybody
-	// may send one.
+	// mostSummaries bounds the failure domains whose summaries are remembered, and
+	// mostParts the parts of one: as many targets as may be known. Anybody may send one.
 	mostSummaries = 64
+	mostParts     = 1024
 )
 
 // summary is how far a summary of all targets of a failure domain has arrived.
@@ -173,7 +174,7 @@
 	if relay, err := segment.ParseAddress(m.Relay); err == nil {
 		s.relay, s.told = relay, now
 	}
-	if m.Number != 0 {
+	if m.Number != 0 && m.Parts <= mostParts {
 		s.part(now, m)
 	}
 }
--- a/internal/connection/stream/summary_test.go
+++ b/internal/connection/stream/summary_test.go
@@ -316,7 +316,7 @@
 	}
 }
 
-// Anybody may send summaries, of ever new failure domains.
+// Anybody may send summaries, of ever new failure domains and in ever more parts.
 func TestSummariesAreBounded(t *testing.T) {
 	s := NewSteerer(0, Settings{Domain: "a", Flows: 100, FlowLife: worldLife})
 	for i := range 3 * mostSummaries {
@@ -325,4 +325,10 @@
 	if got := len(s.Targets.summaries); got > mostSummaries {
 		t.Errorf("%d failure domains are remembered", got)
 	}
+	for i := range 3 * mostParts {
+		s.HearSummary(testNow, &wire.Summary{Domain: "d0", Number: 2, Part: uint32(i), Parts: 3 * mostParts})
+	}
+	if got := len(s.Targets.summaries["d0"].parts); got > mostParts {
+		t.Errorf("%d parts of a summary are remembered", got)
+	}
 }
