A ledger is given again to a successor whose answer was lost, and is asked for again

A peer forgot a ledger as it answered.

Now a ledger stays for the successor that was given it, peers are asked at once, those that did not answer once more, and each failure has a line. TestLedgerIsGivenAgain and TestLedgerOfSlowPeer fail without it.

--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -137,7 +137,7 @@
 	familiar bool
 	// draining is when the present drain began.
 	draining clock.Millis
-	kept     map[string][]byte
+	kept     map[string]keptLedger
 	beats    beats
 
 	started clock.Millis
@@ -166,7 +166,7 @@
 	a := &Agent{
 		settings: settings, deps: deps, count: newCounters(deps.Scope), client: client, refused: refused,
 		sealer:   envelope.NewSealer(deps.Ring, envelope.Room(settings.MTU, settings.Tunnel.Addr())),
-		observer: owner.NewObserver(target.IDOf(settings.Name)), kept: map[string][]byte{}, fatal: make(chan error, 1), differs: make(chan struct{}, 1),
+		observer: owner.NewObserver(target.IDOf(settings.Name)), kept: map[string]keptLedger{}, fatal: make(chan error, 1), differs: make(chan struct{}, 1),
 	}
 	a.buffers.New = func() any {
 		b := make([]byte, 0, envelope.MaxDatagram)
--- a/internal/process/agent/handover.go
+++ b/internal/process/agent/handover.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/netip"
+	"sync"
 
 	"github.com/zeebo/errs"
 
@@ -20,8 +21,8 @@
 	// tries bounds how often a number or a ledger is written again after
 	// another writer was first.
 	tries = 5
-	// maxKept bounds the ledgers that an agent keeps for peers.
-	maxKept = 8
+	// rounds is how often a peer is asked for a ledger that does not answer.
+	rounds = 2
 )
 
 // Stop leaves as planned. New flows go elsewhere from this instant. A target
@@ -172,21 +173,61 @@
 	return &l
 }
 
+// askPeers asks all peers for the ledger at once, and those that do not answer once more.
 func (a *Agent) askPeers(ctx context.Context) *owner.Ledger {
-	for _, p := range a.peerControls() {
-		var reply wire.Taken
-		request := &wire.Take{Target: a.object(), Incarnation: a.self.Incarnation}
-		if a.callPeer(ctx, p, control.Take, request, &reply) != nil || len(reply.Ledger) == 0 {
-			continue
-		}
-		var l owner.Ledger
-		if json.Unmarshal(reply.Ledger, &l) == nil {
-			return &l
+	left := a.peerControls()
+	for range rounds {
+		var l *owner.Ledger
+		if l, left = a.askOnce(ctx, left); l != nil {
+			return l
 		}
 	}
 	return nil
 }
 
+// askOnce returns the ledger that a peer gave, or the peers that have not answered.
+func (a *Agent) askOnce(ctx context.Context, peers []netip.AddrPort) (*owner.Ledger, []netip.AddrPort) {
+	ledgers, failed := make([]*owner.Ledger, len(peers)), make([]bool, len(peers))
+	var all sync.WaitGroup
+	for i, p := range peers {
+		all.Go(func() {
+			var err error
+			if ledgers[i], err = a.askPeer(ctx, p); err != nil {
+				failed[i] = true
+				a.deps.Log.Warn().Str("event", "ledger").Stringer("peer", p).Err(err).Msg("a peer was not heard on a ledger")
+			}
+		})
+	}
+	all.Wait()
+	var left []netip.AddrPort
+	for i, p := range peers {
+		if ledgers[i] != nil {
+			return ledgers[i], nil
+		}
+		if failed[i] {
+			left = append(left, p)
+		}
+	}
+	return nil, left
+}
+
+// askPeer returns the ledger that a peer keeps, or nil if it keeps none.
+func (a *Agent) askPeer(ctx context.Context, p netip.AddrPort) (*owner.Ledger, error) {
+	var reply wire.Taken
+	request := &wire.Take{Target: a.object(), Incarnation: a.self.Incarnation}
+	if err := a.callPeer(ctx, p, control.Take, request, &reply); err != nil {
+		return nil, err
+	}
+	if len(reply.Ledger) == 0 {
+		return nil, nil
+	}
+	var l owner.Ledger
+	if err := json.Unmarshal(reply.Ledger, &l); err != nil {
+		return nil, errs.Wrap(err)
+	}
+	return &l, nil
+}
+
 // Handle answers calls of balancers and peers.
 func (a *Agent) Handle(_ context.Context, method control.Method, params json.RawMessage) (any, error) {
 	switch method {
@@ -209,27 +250,6 @@
 	}
 }
 
-// errFull is returned to a peer whose ledger finds no room here.
-var errFull = errs.New("agent: no room for another ledger")
-
-func (a *Agent) keep(r *wire.Keep) error {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if _, ok := a.kept[r.Target]; !ok && len(a.kept) >= maxKept {
-		return errFull
-	}
-	a.kept[r.Target] = r.Ledger
-	return nil
-}
-
-func (a *Agent) giveLedger(r *wire.Take) *wire.Taken {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	data := a.kept[r.Target]
-	delete(a.kept, r.Target)
-	return &wire.Taken{Ledger: data}
-}
-
 func shuffle(a []netip.AddrPort) {
 	rand.Shuffle(len(a), func(i, j int) { a[i], a[j] = a[j], a[i] })
 }
--- /dev/null
+++ b/internal/process/agent/keep.go
@@ -0,0 +1,58 @@
+package agent
+
+import (
+	"github.com/zeebo/errs"
+
+	"github.com/wagtailtray/wagtailtray/pkg/wire"
+)
+
+// maxKept bounds the ledgers that an agent keeps for peers.
+const maxKept = 8
+
+// errFull is returned to a peer whose ledger finds no room here.
+var errFull = errs.New("agent: no room for another ledger")
+
+// keptLedger is a peer's ledger, and the incarnation of the successor that was given it;
+// zero before.
+type keptLedger struct {
+	data  []byte
+	taker uint32
+}
+
+func (a *Agent) keep(r *wire.Keep) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, ok := a.kept[r.Target]; !ok && len(a.kept) >= maxKept && !a.dropGiven() {
+		return errFull
+	}
+	a.kept[r.Target] = keptLedger{data: r.Ledger}
+	return nil
+}
+
+// dropGiven makes room by a ledger that a successor was given, and reports whether there
+// was one. The lock is held.
+func (a *Agent) dropGiven() bool {
+	for target, l := range a.kept {
+		if l.taker != 0 {
+			delete(a.kept, target)
+			return true
+		}
+	}
+	return false
+}
+
+// giveLedger gives a target's ledger to its successor.
+//
+// The answer may be lost or come too late, so the same successor may ask again; any other
+// one gets nothing, for flows have begun and ended since.
+func (a *Agent) giveLedger(r *wire.Take) *wire.Taken {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	l, ok := a.kept[r.Target]
+	if !ok || l.taker != 0 && l.taker != r.Incarnation {
+		return &wire.Taken{}
+	}
+	l.taker = r.Incarnation
+	a.kept[r.Target] = l
+	return &wire.Taken{Ledger: l.data}
+}
