--- a/internal/try/run.go
+++ b/internal/try/run.go
@@ -172,12 +172,18 @@
 	r.started = time.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	opening, stop := context.WithTimeout(ctx, r.options.For)
+	opening, stop := context.WithCancel(ctx)
 	defer stop()
 	var loops sync.WaitGroup
 	loops.Go(func() { r.keepSessions(opening, ctx) })
 	loops.Go(func() { r.sample(opening) })
-	r.changes(opening)
+	// All changes are made, also where the machine is too slow for their times.
+	r.changes(ctx)
+	select {
+	case <-ctx.Done():
+	case <-time.After(r.options.For - time.Since(r.started)):
+	}
+	stop()
 	loops.Wait()
 	r.progress("no new sessions; waiting for the open ones to end")
 	r.sessions.Wait()
