agent: a stopping agent goes on looking for a keeper of its flows

Cause: peers were asked one after the other for a second each, once. On a machine short of processor time no peer answers a new TLS connection and a call within a second, so the agent ended with its ledger in hand although every peer was well.

Ruled out: a store that lost a ledger (the line is about the platform that is down and says so at once).

Fix: keepers (platform first, suspected peers last) are asked with 0.3 s between them, three at once at most; a slow one is not given up when the next is asked, a failed one is asked again, and the search goes on for 10 s.

--- a/internal/process/agent/announce.go
+++ b/internal/process/agent/announce.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -153,3 +154,7 @@
 	default:
 	}
 }
+
+func shuffle(a []netip.AddrPort) {
+	rand.Shuffle(len(a), func(i, j int) { a[i], a[j] = a[j], a[i] })
+}
--- /dev/null
+++ b/internal/process/agent/handle.go
@@ -0,0 +1,31 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/wagtailtray/wagtailtray/internal/process/control"
+	"github.com/wagtailtray/wagtailtray/pkg/wire"
+)
+
+// Handle answers calls of balancers and peers.
+func (a *Agent) Handle(_ context.Context, method control.Method, params json.RawMessage) (any, error) {
+	switch method {
+	case control.Ping:
+		return &wire.Empty{}, nil
+	case control.Keep:
+		r, err := control.Read[wire.Keep](params)
+		if err != nil {
+			return nil, err
+		}
+		return &wire.Empty{}, a.keep(r)
+	case control.Take:
+		r, err := control.Read[wire.Take](params)
+		if err != nil {
+			return nil, err
+		}
+		return a.giveLedger(r), nil
+	default:
+		return nil, control.ErrMethod
+	}
+}
--- a/internal/process/agent/handover.go
+++ b/internal/process/agent/handover.go
@@ -4,9 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"math/rand/v2"
-	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/zeebo/errs"
 
@@ -21,8 +20,15 @@
 	// tries bounds how often a number or a ledger is written again after
 	// another writer was first.
 	tries = 5
-	// rounds is how often a peer is asked for a ledger that does not answer.
-	rounds = 2
+	// handoverLimit bounds how long a stopping agent looks for somebody who keeps its
+	// flows. A caller that hears nothing for longer gives its flow up.
+	handoverLimit = 10 * time.Second
+	// keepTimeout bounds one try to leave a ledger with somebody.
+	keepTimeout = 3 * time.Second
+	// hedge is how long one keeper may take before the next one is asked as well.
+	hedge = 300 * time.Millisecond
+	// mostKeepers bounds the keepers that are asked at once, each with a whole ledger.
+	mostKeepers = 3
 )
 
 // Stop leaves as planned. New flows go elsewhere from this instant. A target
@@ -62,16 +68,21 @@
 }
 
 func (a *Agent) handOver(ctx context.Context, l *owner.Ledger) {
-	err := a.writeLedger(ctx, l)
-	if err == nil {
-		a.deps.Log.Info().Str("event", "ledger").Int("flows", len(l.Flows)).Msg("flows left with the platform")
-		return
+	ctx, cancel := context.WithTimeout(ctx, handoverLimit)
+	defer cancel()
+	began := a.deps.Clock.Now()
+	keeper, err := leave(ctx, append([]keeper{a.platformKeeper(l)}, a.peerKeepers(l)...))
+	line := a.deps.Log.Info()
+	if err != nil {
+		line = a.deps.Log.Error()
 	}
-	if a.leaveWithPeer(ctx, l) {
-		a.deps.Log.Info().Str("event", "ledger").Int("flows", len(l.Flows)).AnErr("platform", err).Msg("flows left with a peer")
+	line = line.Str("event", "ledger").Int("flows", len(l.Flows)).Uint32("incarnation", l.Incarnation).
+		Int64("age", int64(a.deps.Clock.Now().Sub(began)))
+	if err != nil {
+		line.Err(err).Msg("flows lost: neither platform nor peer took them")
 		return
 	}
-	a.deps.Log.Error().Str("event", "ledger").Int("flows", len(l.Flows)).Err(err).Msg("flows lost: neither platform nor peer took them")
+	line.Str("keeper", keeper).Msg("flows left for the successor")
 }
 
 func (a *Agent) writeLedger(ctx context.Context, l *owner.Ledger) error {
@@ -106,150 +117,134 @@
 	return err
 }
 
-func (a *Agent) leaveWithPeer(ctx context.Context, l *owner.Ledger) bool {
+// keeper is somebody who may keep a ledger for the successor.
+type keeper struct {
+	name string
+	keep func(context.Context) error
+}
+
+func (a *Agent) platformKeeper(l *owner.Ledger) keeper {
+	return keeper{name: "platform", keep: func(ctx context.Context) error { return a.writeLedger(ctx, l) }}
+}
+
+// peerKeepers returns the peers, those that are suspected last.
+func (a *Agent) peerKeepers(l *owner.Ledger) []keeper {
 	data, err := json.Marshal(l)
 	if err != nil {
-		return false
+		a.deps.Log.Error().Str("event", "ledger").Err(err).Msg("ledger cannot be written for a peer")
+		return nil
 	}
-	for _, p := range a.peerControls() {
-		request := &wire.Keep{Target: l.Target, Ledger: data}
-		if a.callPeer(ctx, p, control.Keep, request, &wire.Empty{}) == nil {
-			return true
-		}
+	request := &wire.Keep{Target: l.Target, Ledger: data}
+	var all []keeper
+	for _, p := range a.peerList() {
+		all = append(all, keeper{name: p.Name, keep: func(ctx context.Context) error {
+			return a.client.Call(ctx, p.Control, control.Keep, request, &wire.Empty{})
+		}})
 	}
-	return false
+	return all
 }
 
-func (a *Agent) peerControls() []netip.AddrPort {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	var all []netip.AddrPort
-	for i := range a.peers {
-		if a.peers[i].State != member.Left {
-			all = append(all, a.peers[i].Control)
-		}
-	}
-	return all
+func (a *Agent) leaveWithPeer(ctx context.Context, l *owner.Ledger) bool {
+	_, err := leave(ctx, a.peerKeepers(l))
+	return err == nil
 }
 
-func (a *Agent) callPeer(ctx context.Context, to netip.AddrPort, m control.Method, request, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	return a.client.Call(ctx, to, m, request, reply)
+// errNoKeeper is returned where nobody was there to be asked.
+var errNoKeeper = errs.New("agent: nobody to keep the ledger")
+
+// attempt is how a keeper was asked and what came of it.
+type attempt struct {
+	keeper keeper
+	err    error
 }
 
-// takeLedger takes up what the predecessor left, from the platform or a peer.
-func (a *Agent) takeLedger(ctx context.Context) {
-	l := a.readLedger(ctx)
-	if l == nil {
-		l = a.askPeers(ctx)
-	}
-	if l == nil || l.Incarnation >= a.self.Incarnation {
-		return
-	}
-	lost := a.table.Import(a.deps.Clock.Now(), l, a.pool)
-	a.inherited.Store(true)
-	a.count.restored.Inc(int64(len(l.Flows) - len(lost)))
-	a.count.unrestored.Inc(int64(len(lost)))
-	for _, caller := range lost {
-		a.deps.Log.Error().Str("event", "unrestored").Stringer("caller", caller).Msg("local port not free, flow lost")
-	}
-	a.deps.Log.Info().Str("event", "restored").Int("flows", len(l.Flows)-len(lost)).Msg("flows taken over")
+// leave asks keepers in their order until one of them has the ledger, and returns its
+// name. The next one is asked when one has failed or takes its time, and who failed is
+// asked again later.
+//
+// A slow keeper is not given up when the next one is asked: where all processes are short
+// of processor time, each of them is late.
+func leave(ctx context.Context, keepers []keeper) (string, error) {
+	if len(keepers) == 0 {
+		return "", errNoKeeper
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	s := &keeperSearch{waiting: keepers, fresh: len(keepers), answers: make(chan attempt, len(keepers)), err: errNoKeeper}
+	defer s.calls.Wait()
+	defer cancel()
+	return s.run(ctx)
 }
 
-// readLedger reads the ledger and removes it, so that it is taken up once.
-func (a *Agent) readLedger(ctx context.Context) *owner.Ledger {
-	o, err := a.deps.Store.Get(ctx, platform.Ledgers, a.object())
-	if err != nil {
-		return nil
-	}
-	var l owner.Ledger
-	if err := json.Unmarshal(o.Spec, &l); err != nil {
-		return nil
-	}
-	if err := a.deps.Store.Delete(ctx, platform.Ledgers, o); err != nil {
-		a.deps.Log.Warn().Str("event", "platform").Err(err).Msg("ledger not removed; its incarnation keeps it from being taken up again")
-	}
-	return &l
+// keeperSearch is the state of leave.
+type keeperSearch struct {
+	// waiting are the keepers to be asked, of which the first ones are fresh: not asked yet.
+	waiting []keeper
+	fresh   int
+	busy    int
+	answers chan attempt
+	calls   sync.WaitGroup
+	// err is why the last keeper failed.
+	err error
 }
 
-// askPeers asks all peers for the ledger at once, and those that do not answer once more.
-func (a *Agent) askPeers(ctx context.Context) *owner.Ledger {
-	left := a.peerControls()
-	for range rounds {
-		var l *owner.Ledger
-		if l, left = a.askOnce(ctx, left); l != nil {
-			return l
-		}
-	}
-	return nil
-}
-
-// askOnce returns the ledger that a peer gave, or the peers that have not answered.
-func (a *Agent) askOnce(ctx context.Context, peers []netip.AddrPort) (*owner.Ledger, []netip.AddrPort) {
-	ledgers, failed := make([]*owner.Ledger, len(peers)), make([]bool, len(peers))
-	var all sync.WaitGroup
-	for i, p := range peers {
-		all.Go(func() {
-			var err error
-			if ledgers[i], err = a.askPeer(ctx, p); err != nil {
-				failed[i] = true
-				a.deps.Log.Warn().Str("event", "ledger").Stringer("peer", p).Err(err).Msg("a peer was not heard on a ledger")
+func (s *keeperSearch) run(ctx context.Context) (string, error) {
+	next := time.NewTimer(0)
+	defer next.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return "", errs.Combine(s.err, ctx.Err())
+		case r := <-s.answers:
+			if r.err == nil {
+				return r.keeper.name, nil
 			}
-		})
-	}
-	all.Wait()
-	var left []netip.AddrPort
-	for i, p := range peers {
-		if ledgers[i] != nil {
-			return ledgers[i], nil
-		}
-		if failed[i] {
-			left = append(left, p)
+			s.failed(r)
+			if s.fresh > 0 {
+				next.Reset(0)
+			}
+		case <-next.C:
+			s.askNext(ctx)
+			next.Reset(hedge)
 		}
 	}
-	return nil, left
 }
 
-// askPeer returns the ledger that a peer keeps, or nil if it keeps none.
-func (a *Agent) askPeer(ctx context.Context, p netip.AddrPort) (*owner.Ledger, error) {
-	var reply wire.Taken
-	request := &wire.Take{Target: a.object(), Incarnation: a.self.Incarnation}
-	if err := a.callPeer(ctx, p, control.Take, request, &reply); err != nil {
-		return nil, err
-	}
-	if len(reply.Ledger) == 0 {
-		return nil, nil
-	}
-	var l owner.Ledger
-	if err := json.Unmarshal(reply.Ledger, &l); err != nil {
-		return nil, errs.Wrap(err)
-	}
-	return &l, nil
-}
-
-// Handle answers calls of balancers and peers.
-func (a *Agent) Handle(_ context.Context, method control.Method, params json.RawMessage) (any, error) {
-	switch method {
-	case control.Ping:
-		return &wire.Empty{}, nil
-	case control.Keep:
-		r, err := control.Read[wire.Keep](params)
-		if err != nil {
-			return nil, err
-		}
-		return &wire.Empty{}, a.keep(r)
-	case control.Take:
-		r, err := control.Read[wire.Take](params)
-		if err != nil {
-			return nil, err
-		}
-		return a.giveLedger(r), nil
-	default:
-		return nil, control.ErrMethod
+func (s *keeperSearch) failed(r attempt) {
+	s.err = r.err
+	s.busy--
+	s.waiting = append(s.waiting, r.keeper)
+}
+
+func (s *keeperSearch) askNext(ctx context.Context) {
+	if s.busy == mostKeepers || len(s.waiting) == 0 {
+		return
 	}
+	k := s.waiting[0]
+	s.waiting = s.waiting[1:]
+	s.fresh = max(s.fresh-1, 0)
+	s.busy++
+	s.calls.Go(func() { s.answers <- attempt{keeper: k, err: k.try(ctx)} })
 }
 
-func shuffle(a []netip.AddrPort) {
-	rand.Shuffle(len(a), func(i, j int) { a[i], a[j] = a[j], a[i] })
+func (k *keeper) try(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, keepTimeout)
+	defer cancel()
+	return k.keep(ctx)
+}
+
+// peerList returns the peers that may hold a ledger, those that are suspected last.
+func (a *Agent) peerList() []member.Member {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var live, suspected []member.Member
+	for _, p := range a.peers {
+		switch {
+		case p.State == member.Left:
+		case p.Suspected:
+			suspected = append(suspected, p)
+		default:
+			live = append(live, p)
+		}
+	}
+	return append(live, suspected...)
 }
