agent: a successor takes the newest flows that anybody has kept for it

Callers saw: every flow beside a restarted agent silent, for the new agent began without flows although they were kept; it then answered for flows it did not know.

An older one, which an earlier successor could not remove, went before the newest one at a peer. And the platform's copy was deleted before its flows were open.

Fix: the platform goes first and ends the search with the direct predecessor's ledger. Otherwise platform and peers are asked together, and who does not answer is asked again with twice the time, for 5 s; suspected peers once. The highest incarnation wins. A first incarnation has no predecessor and asks nobody. The ledger is removed once the flows are served, which also takes two calls out of the time without an agent.

--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -206,6 +206,7 @@
 	a.join()
 	a.announce(ctx)
 	a.serve(ctx)
+	a.removeLedger(ctx)
 	a.deps.Log.Info().Str("event", "started").Uint32("incarnation", a.self.Incarnation).
 		Int("flows", a.table.Len()).Msg("agent started")
 	return nil
--- a/internal/process/agent/takeover.go
+++ b/internal/process/agent/takeover.go
@@ -3,28 +3,38 @@
 import (
 	"context"
 	"encoding/json"
-	"net/netip"
-	"sync"
+	"errors"
+	"time"
 
 	"github.com/zeebo/errs"
 
 	"github.com/wagtailtray/wagtailtray/internal/connection/owner"
 	"github.com/wagtailtray/wagtailtray/internal/process/control"
-	"github.com/wagtailtray/wagtailtray/internal/process/member"
 	"github.com/wagtailtray/wagtailtray/pkg/platform"
 	"github.com/wagtailtray/wagtailtray/pkg/wire"
 )
 
-// rounds is how often a peer is asked for a ledger that does not answer.
-const rounds = 2
+const (
+	// takeoverLimit bounds how long a starting agent asks for its predecessor's flows
+	// while somebody who may have them does not answer.
+	takeoverLimit = 5 * time.Second
+	// takeoverPause is between two rounds of questions.
+	takeoverPause = 100 * time.Millisecond
+)
+
+// source is somebody who may have a ledger of a predecessor.
+type source struct {
+	name string
+	// suspected sources are asked once.
+	suspected bool
+	// ask returns nil for a source that has none.
+	ask func(context.Context) (*owner.Ledger, error)
+}
 
-// takeLedger takes up what the predecessor left, from the platform or a peer.
+// takeLedger takes up what the predecessor left with the platform or a peer.
 func (a *Agent) takeLedger(ctx context.Context) {
-	l := a.readLedger(ctx)
+	l := a.findLedger(ctx)
 	if l == nil {
-		l = a.askPeers(ctx)
-	}
-	if l == nil || l.Incarnation >= a.self.Incarnation {
 		return
 	}
 	lost := a.table.Import(a.deps.Clock.Now(), l, a.pool)
@@ -34,94 +44,166 @@
 	for _, caller := range lost {
 		a.deps.Log.Error().Str("event", "unrestored").Stringer("caller", caller).Msg("local port not free, flow lost")
 	}
-	a.deps.Log.Info().Str("event", "restored").Int("flows", len(l.Flows)-len(lost)).Msg("flows taken over")
+	a.deps.Log.Info().Str("event", "restored").Int("flows", len(l.Flows)-len(lost)).
+		Uint32("of", l.Incarnation).Uint32("incarnation", a.self.Incarnation).Msg("flows taken over")
 }
 
-// readLedger reads the ledger and removes it, so that it is taken up once.
-func (a *Agent) readLedger(ctx context.Context) *owner.Ledger {
-	o, err := a.deps.Store.Get(ctx, platform.Ledgers, a.object())
-	if err != nil {
+// findLedger returns the newest ledger of the predecessors.
+//
+// The platform goes first, and its ledger of the direct predecessor ends the search. An
+// older one is not enough: its successor may not have been able to remove it, and may have
+// left its own flows with a peer while the platform was away.
+func (a *Agent) findLedger(ctx context.Context) *owner.Ledger {
+	if a.self.Incarnation <= 1 {
 		return nil
 	}
-	var l owner.Ledger
-	if err := json.Unmarshal(o.Spec, &l); err != nil {
-		return nil
-	}
-	if err := a.deps.Store.Delete(ctx, platform.Ledgers, o); err != nil {
-		a.deps.Log.Warn().Str("event", "platform").Err(err).Msg("ledger not removed; its incarnation keeps it from being taken up again")
+	l, silent := a.ask(ctx, []source{a.platformSource()}, callTimeout)
+	if a.fromDirect(l) {
+		return l
 	}
-	return &l
+	return a.newer(l, a.askAll(ctx, append(silent, a.peerSources()...)))
 }
 
-// askPeers asks all peers for the ledger at once, and those that do not answer once more.
+// askPeers returns the newest ledger that a peer keeps.
 func (a *Agent) askPeers(ctx context.Context) *owner.Ledger {
-	left := a.peerControls()
-	for range rounds {
+	return a.askAll(ctx, a.peerSources())
+}
+
+// askAll asks sources until each has answered, or until there is nothing newer to be had.
+// Who does not answer is asked again and given longer.
+func (a *Agent) askAll(ctx context.Context, left []source) *owner.Ledger {
+	ctx, cancel := context.WithTimeout(ctx, takeoverLimit)
+	defer cancel()
+	var newest *owner.Ledger
+	for timeout := callTimeout; len(left) > 0 && ctx.Err() == nil; timeout *= 2 {
 		var l *owner.Ledger
-		if l, left = a.askOnce(ctx, left); l != nil {
-			return l
+		l, left = a.ask(ctx, left, timeout)
+		newest = a.newer(newest, l)
+		if a.fromDirect(newest) || len(left) == 0 {
+			break
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(takeoverPause):
 		}
 	}
-	return nil
+	return newest
 }
 
-// askOnce returns the ledger that a peer gave, or the peers that have not answered.
-func (a *Agent) askOnce(ctx context.Context, peers []netip.AddrPort) (*owner.Ledger, []netip.AddrPort) {
-	ledgers, failed := make([]*owner.Ledger, len(peers)), make([]bool, len(peers))
-	var all sync.WaitGroup
-	for i, p := range peers {
-		all.Go(func() {
-			var err error
-			if ledgers[i], err = a.askPeer(ctx, p); err != nil {
-				failed[i] = true
-				a.deps.Log.Warn().Str("event", "ledger").Stringer("peer", p).Err(err).Msg("a peer was not heard on a ledger")
-			}
-		})
+// answer is what a source said.
+type answer struct {
+	source source
+	ledger *owner.Ledger
+	err    error
+}
+
+// ask asks sources at once. It returns the newest ledger among their answers, and who is
+// to be asked again.
+func (a *Agent) ask(ctx context.Context, sources []source, timeout time.Duration) (*owner.Ledger, []source) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	answers := make(chan answer, len(sources))
+	for _, s := range sources {
+		go func() {
+			l, err := s.ask(ctx)
+			answers <- answer{source: s, ledger: l, err: err}
+		}()
 	}
-	all.Wait()
-	var left []netip.AddrPort
-	for i, p := range peers {
-		if ledgers[i] != nil {
-			return ledgers[i], nil
+	var newest *owner.Ledger
+	var silent []source
+	for range sources {
+		r := <-answers
+		newest = a.newer(newest, r.ledger)
+		if a.fromDirect(newest) {
+			return newest, nil
+		}
+		if r.err == nil {
+			continue
 		}
-		if failed[i] {
-			left = append(left, p)
+		a.deps.Log.Warn().Str("event", "ledger").Str("source", r.source.name).Err(r.err).Msg("not heard on a ledger")
+		if !r.source.suspected {
+			silent = append(silent, r.source)
 		}
 	}
-	return nil, left
+	return newest, silent
 }
 
-// askPeer returns the ledger that a peer keeps, or nil if it keeps none.
-func (a *Agent) askPeer(ctx context.Context, p netip.AddrPort) (*owner.Ledger, error) {
-	var reply wire.Taken
-	request := &wire.Take{Target: a.object(), Incarnation: a.self.Incarnation}
-	if err := a.callPeer(ctx, p, control.Take, request, &reply); err != nil {
-		return nil, err
+// newer returns the later one of two ledgers of predecessors; either may be nil.
+func (a *Agent) newer(l, other *owner.Ledger) *owner.Ledger {
+	if other == nil || other.Incarnation >= a.self.Incarnation {
+		return l
 	}
-	if len(reply.Ledger) == 0 {
+	if l == nil || other.Incarnation > l.Incarnation {
+		return other
+	}
+	return l
+}
+
+// fromDirect reports a ledger of the direct predecessor: there is no newer one.
+func (a *Agent) fromDirect(l *owner.Ledger) bool {
+	return l != nil && l.Incarnation+1 == a.self.Incarnation
+}
+
+func (a *Agent) platformSource() source {
+	return source{name: "platform", ask: func(ctx context.Context) (*owner.Ledger, error) {
+		_, l, err := a.storedLedger(ctx)
+		if errors.Is(err, platform.ErrNotFound) {
+			return nil, nil
+		}
+		return l, err
+	}}
+}
+
+func (a *Agent) storedLedger(ctx context.Context) (platform.Object, *owner.Ledger, error) {
+	o, err := a.deps.Store.Get(ctx, platform.Ledgers, a.object())
+	if err != nil {
+		return o, nil, err
+	}
+	var l owner.Ledger
+	if err := json.Unmarshal(o.Spec, &l); err != nil {
+		return o, nil, errs.Wrap(err)
+	}
+	return o, &l, nil
+}
+
+func (a *Agent) peerSources() []source {
+	var all []source
+	for _, p := range a.peerList() {
+		all = append(all, source{name: p.Name, suspected: p.Suspected, ask: func(ctx context.Context) (*owner.Ledger, error) {
+			var reply wire.Taken
+			request := &wire.Take{Target: a.object(), Incarnation: a.self.Incarnation}
+			if err := a.client.Call(ctx, p.Control, control.Take, request, &reply); err != nil {
+				return nil, err
+			}
+			return readLedger(reply.Ledger)
+		}})
+	}
+	return all
+}
+
+// readLedger reads what a peer gave; nothing means that it keeps no ledger.
+func readLedger(data []byte) (*owner.Ledger, error) {
+	if len(data) == 0 {
 		return nil, nil
 	}
 	var l owner.Ledger
-	if err := json.Unmarshal(reply.Ledger, &l); err != nil {
+	if err := json.Unmarshal(data, &l); err != nil {
 		return nil, errs.Wrap(err)
 	}
 	return &l, nil
 }
 
-func (a *Agent) callPeer(ctx context.Context, to netip.AddrPort, m control.Method, request, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	return a.client.Call(ctx, to, m, request, reply)
-}
-
-func (a *Agent) peerControls() []netip.AddrPort {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	var all []netip.AddrPort
-	for i := range a.peers {
-		if a.peers[i].State != member.Left {
-			all = append(all, a.peers[i].Control)
-		}
+// removeLedger takes the predecessors' ledger out of the platform. It runs when the flows
+// are served, so that they do not wait for it.
+func (a *Agent) removeLedger(ctx context.Context) {
+	o, l, err := a.storedLedger(ctx)
+	if errors.Is(err, platform.ErrNotFound) || l != nil && l.Incarnation >= a.self.Incarnation {
+		return
+	}
+	if err == nil {
+		err = a.deps.Store.Delete(ctx, platform.Ledgers, o)
+	}
+	if err != nil {
+		a.deps.Log.Warn().Str("event", "platform").Err(err).Msg("ledger not removed; a later one goes before it")
 	}
-	return all
 }
--- /dev/null
+++ b/internal/process/agent/takeover_test.go
@@ -0,0 +1,111 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/wagtailtray/wagtailtray/internal/connection/owner"
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+	"github.com/wagtailtray/wagtailtray/pkg/platform"
+	"github.com/wagtailtray/wagtailtray/pkg/wire"
+)
+
+// store has one ledger, or none, and does not answer the first reads.
+type store struct {
+	platform.Store
+	mu     sync.Mutex
+	ledger *owner.Ledger
+	silent int
+}
+
+func (s *store) Get(context.Context, platform.Kind, string) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.silent > 0 {
+		s.silent--
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	if s.ledger == nil {
+		return platform.Object{}, platform.ErrNotFound
+	}
+	data, err := json.Marshal(s.ledger)
+	return platform.Object{Spec: data}, err
+}
+
+func (s *store) Delete(context.Context, platform.Kind, platform.Object) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledger = nil
+	return nil
+}
+
+// ledgerOf is what a predecessor has left.
+func ledgerOf(incarnation uint32) *owner.Ledger {
+	return &owner.Ledger{Target: "web.t1", Incarnation: incarnation}
+}
+
+// keptBy leaves a ledger with a peer that answers after a delay.
+func keptBy(t *testing.T, a *Agent, l *owner.Ledger, delay time.Duration) {
+	t.Helper()
+	data, err := json.Marshal(l)
+	if err != nil {
+		t.Fatal(err)
+	}
+	peer := newTest(t, clock.System())
+	if err := peer.keep(&wire.Keep{Target: a.object(), Ledger: data}); err != nil {
+		t.Fatal(err)
+	}
+	serveAs(t, a, &slow{peer: peer, delay: delay})
+}
+
+// taker is an agent that starts as the successor of incarnation 3, before it has looked
+// for flows.
+func taker(t *testing.T, s *store) *Agent {
+	t.Helper()
+	a := newTest(t, clock.System())
+	a.deps.Store = s
+	return a
+}
+
+// The platform still has a ledger that an earlier successor could not remove, and the
+// newest one is with a peer. The flows of the newest one must not be lost for the old one.
+func TestNewestFlowsAreTaken(t *testing.T) {
+	a := taker(t, &store{ledger: ledgerOf(1)})
+	keptBy(t, a, ledgerOf(3), 0)
+	if l := a.findLedger(t.Context()); l == nil || l.Incarnation != 3 {
+		t.Errorf("got %+v", l)
+	}
+}
+
+// The platform does not answer the first read of a successor. The flows must not be lost
+// for that.
+func TestFlowsAreTakenFromSilentStore(t *testing.T) {
+	a := taker(t, &store{ledger: ledgerOf(3), silent: 2})
+	if l := a.findLedger(t.Context()); l == nil || l.Incarnation != 3 {
+		t.Errorf("got %+v", l)
+	}
+}
+
+// The only peer that keeps the flows answers every call after more than a second. The
+// flows must not be lost for that.
+func TestFlowsAreTakenFromSlowPeer(t *testing.T) {
+	a := taker(t, &store{})
+	keptBy(t, a, ledgerOf(3), 1200*time.Millisecond)
+	if l := a.findLedger(t.Context()); l == nil || l.Incarnation != 3 {
+		t.Errorf("got %+v", l)
+	}
+}
+
+// A target starts for the first time while neither platform nor peer answers. It has no
+// predecessor and must not wait for one's flows.
+func TestFirstStartWaitsForNobody(t *testing.T) {
+	a := taker(t, &store{silent: 1000})
+	a.self.Incarnation = 1
+	began := time.Now()
+	if l := a.findLedger(t.Context()); l != nil || time.Since(began) > callTimeout {
+		t.Errorf("got %+v after %s", l, time.Since(began))
+	}
+}
