agent: a peer gives no ledger whose flows are all over

Callers would see: a flow of theirs taken by a target that held the same addresses long ago.

Cause: a kept ledger had no age. Fix: nobody serves its flows meanwhile, so beyond the service's idle time all of them are over; it is given to nobody and makes room first.

Test: TestOldLedgerIsNotGiven fails before it (got "flows").

--- a/internal/process/agent/keep.go
+++ b/internal/process/agent/keep.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/zeebo/errs"
 
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
 	"github.com/wagtailtray/wagtailtray/pkg/wire"
 )
 
@@ -12,10 +13,12 @@
 // errFull is returned to a peer whose ledger finds no room here.
 var errFull = errs.New("agent: no room for another ledger")
 
-// keptLedger is a peer's ledger, and the incarnation of the successor that was given it;
-// zero before.
+// keptLedger is a peer's ledger.
 type keptLedger struct {
-	data  []byte
+	data []byte
+	// at is when it came.
+	at clock.Millis
+	// taker is the incarnation of the successor that was given it; zero before.
 	taker uint32
 }
 
@@ -25,15 +28,15 @@
 	if _, ok := a.kept[r.Target]; !ok && len(a.kept) >= maxKept && !a.dropGiven() {
 		return errFull
 	}
-	a.kept[r.Target] = keptLedger{data: r.Ledger}
+	a.kept[r.Target] = keptLedger{data: r.Ledger, at: a.deps.Clock.Now()}
 	return nil
 }
 
-// dropGiven makes room by a ledger that a successor was given, and reports whether there
-// was one. The lock is held.
+// dropGiven makes room by a ledger that a successor was given, or that is of no use any
+// more, and reports whether there was one. The lock is held.
 func (a *Agent) dropGiven() bool {
 	for target, l := range a.kept {
-		if l.taker != 0 {
+		if l.taker != 0 || a.outlived(&l) {
 			delete(a.kept, target)
 			return true
 		}
@@ -41,6 +44,12 @@
 	return false
 }
 
+// outlived reports that nobody has served a ledger's flows for longer than any of them may
+// be idle. Several peers may keep one ledger, and its successor takes it from one of them.
+func (a *Agent) outlived(l *keptLedger) bool {
+	return a.record.Idle > 0 && a.deps.Clock.Now().Sub(l.at) > a.record.Idle
+}
+
 // giveLedger gives a target's ledger to its successor.
 //
 // The answer may be lost or come too late, so the same successor may ask again; any other
@@ -49,7 +58,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	l, ok := a.kept[r.Target]
-	if !ok || l.taker != 0 && l.taker != r.Incarnation {
+	if !ok || a.outlived(&l) || l.taker != 0 && l.taker != r.Incarnation {
 		return &wire.Taken{}
 	}
 	l.taker = r.Incarnation
--- a/internal/process/agent/takeover_test.go
+++ b/internal/process/agent/takeover_test.go
@@ -109,3 +109,18 @@
 		t.Errorf("got %+v after %s", l, time.Since(began))
 	}
 }
+
+// Two peers keep one ledger, and its successor has taken it from the other one. A later
+// successor must not get the flows of long ago from this one.
+func TestOldLedgerIsNotGiven(t *testing.T) {
+	c := &clock.Manual{}
+	a := newTest(t, c)
+	a.record.Idle = clock.Minute
+	if err := a.keep(&wire.Keep{Target: "web.t2", Ledger: []byte("flows")}); err != nil {
+		t.Fatal(err)
+	}
+	c.Add(clock.Minute + 1)
+	if got := a.giveLedger(&wire.Take{Target: "web.t2", Incarnation: 6}); len(got.Ledger) > 0 {
+		t.Errorf("got %q", got.Ledger)
+	}
+}
