try: a flow is over no sooner than its connection

Callers saw: an open session got no answer within 15 s, beside a target that nobody had restarted.

Cause: the trial gave flows an idle time of 5 s while both ends of its connections keep them for 20 s. QUIC doubles its pause between two copies of a lost datagram. With the round trips of a machine short of processor time (3.2 s at one upstream, most of it inside the caller) a pause is longer than 5 s, the agent ends the flow as idle, as it was told to, and the copy that comes a moment later finds no owner, for ever.

The product kept its word: a flow may be silent for as long as the answers say.

Fix: one constant for both ends of the connections and the trial; an operator's answer must not be shorter either, which the public type now says. An operator waits for a drained target as much longer as a flow whose end was lost is kept.

--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -25,7 +25,6 @@
 const (
 	// handshakeLimit is how long a caller tries to open a session.
 	handshakeLimit = 10 * time.Second
-	idle           = 20 * time.Second
 	keepAlive      = 2 * time.Second
 	// answerLimit is how long a caller waits for an answer beyond the time
 	// that the answer takes by itself.
@@ -83,7 +82,7 @@
 	ctx, cancel := context.WithTimeout(ctx, handshakeLimit)
 	defer cancel()
 	config := &quic.Config{
-		HandshakeIdleTimeout: handshakeLimit, MaxIdleTimeout: idle, KeepAlivePeriod: keepAlive,
+		HandshakeIdleTimeout: handshakeLimit, MaxIdleTimeout: exchange.Idle, KeepAlivePeriod: keepAlive,
 	}
 	c, err := t.Dial(ctx, net.UDPAddrFromAddrPort(p.Address), exchange.ClientTLS(), config)
 	var refused *quic.TransportError
--- a/internal/try/run.go
+++ b/internal/try/run.go
@@ -11,6 +11,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/wagtailtray/wagtailtray/internal/standin/caller"
+	"github.com/wagtailtray/wagtailtray/internal/standin/exchange"
 	"github.com/wagtailtray/wagtailtray/internal/version/approval"
 	"github.com/wagtailtray/wagtailtray/pkg/answers"
 )
@@ -107,8 +108,9 @@
 }
 
 // idle is the idle time of a trial. Its sessions are hundreds of times shorter
-// than the deployments' own, and so is the time after which a silent one ends.
-const idle = 5 * time.Second
+// than the deployments' own, and so is the time after which a silent one ends; no
+// shorter than their connections' own, as an operator's answer must be.
+const idle = exchange.Idle
 
 func (r *run) shorten() {
 	for i := range r.world.answers.Services {
--- a/pkg/answers/answers.go
+++ b/pkg/answers/answers.go
@@ -67,8 +67,10 @@
 	// Connections and Slots are the capacity of one target.
 	Connections int `yaml:"connections"`
 	Slots       int `yaml:"slots"`
-	// Idle is how long a flow may be silent, Drain how long a target may
-	// take to finish its flows, ColdStart how long it takes to warm up.
+	// Idle is how long a flow may be silent: no shorter than the idle time of its
+	// connections, which pause for seconds between two copies of a lost datagram.
+	// Drain is how long a target may take to finish its flows, ColdStart how long it
+	// takes to warm up.
 	Idle      Duration `yaml:"idle"`
 	Drain     Duration `yaml:"drain"`
 	ColdStart Duration `yaml:"coldstart"`
