try: sessions open no faster than the machine carries them

Callers saw: where the machine is short of processor time, sessions that cannot be opened within 10 s and open ones without an answer within 15 s (both known failures), and suspicions of processes that are well.

Cause: the trial's own load. Handshakes are most of its work. With round trips of seconds QUIC's pauses after one lost datagram are 5 to 10 s, and so any restart broke sessions.

Traces of the sessions that broke name the pauses: 2.5 s inside a caller between two datagrams of a handshake, then an upstream that sent nothing from 13.1 s to the flow's end at 22.4 s. The kernel dropped no datagram.

Fix: a tenth of the sessions may be opening at a time; the next ones wait. So that a run is as strict on a slow machine: all sessions that its length asks for are opened (it fails where that takes more than ten times its length), and a change comes after its share of them as well as of the time.

--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -48,6 +48,8 @@
 	// a download at the start; 0 for none.
 	Ticks, Every int
 	Bytes        int
+	// Settled is called when the session is open or cannot be opened; may be nil.
+	Settled func()
 }
 
 // Session runs one session to its end. The error is for the log: the oracle
@@ -62,6 +64,9 @@
 	transport := &quic.Transport{Conn: packet}
 	defer func() { _ = transport.Close() }()
 	c, err := open(ctx, transport, p)
+	if p.Settled != nil {
+		p.Settled()
+	}
 	if errors.Is(err, ErrRefused) {
 		o.Refused(id)
 	}
--- a/internal/try/changes.go
+++ b/internal/try/changes.go
@@ -26,11 +26,9 @@
 // fails is reported; the run goes on.
 func (r *run) changes(ctx context.Context) {
 	for _, s := range r.steps() {
-		wait := time.Duration(s.at*float64(r.options.For)) - time.Since(r.started)
-		select {
-		case <-ctx.Done():
+		r.pace(ctx, s.at)
+		if ctx.Err() != nil {
 			return
-		case <-time.After(max(wait, 0)):
 		}
 		r.progress("%s", s.what)
 		if err := s.do(context.WithoutCancel(ctx)); err != nil {
--- a/internal/try/run.go
+++ b/internal/try/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -67,6 +68,12 @@
 	startLimit      = 20 * time.Second
 	inForceLimit    = 10 * time.Second
 	sampleEvery     = 250 * time.Millisecond
+	// openingShare is the part of the sessions that may be opening at a time.
+	openingShare = 10
+	// paceEvery is how often is looked whether enough sessions were begun.
+	paceEvery = 10 * time.Millisecond
+	// longest bounds a run on a slow machine, in lengths of a run.
+	longest = 10
 )
 
 // run is one trial under way.
@@ -79,6 +86,8 @@
 	balance  *balance
 	report   Report
 	sessions sync.WaitGroup
+	begun    atomic.Int64
+	session  func(context.Context, caller.Plan, *exchange.Oracle) error
 }
 
 func durationOf(d answers.Duration) time.Duration {
@@ -96,7 +105,7 @@
 	}
 	defer w.Close()
 	r := &run{
-		world: w, options: o, progress: progress, random: rand.New(rand.NewPCG(o.Seed, 2)),
+		world: w, options: o, progress: progress, random: rand.New(rand.NewPCG(o.Seed, 2)), session: caller.Session,
 		balance: newBalance(), report: Report{Deployment: o.Deployment, Seed: o.Seed, Failed: []string{}, Delays: []float64{}},
 	}
 	r.shorten()
@@ -181,9 +190,9 @@
 	loops.Go(func() { r.sample(opening) })
 	// All changes are made, also where the machine is too slow for their times.
 	r.changes(ctx)
-	select {
-	case <-ctx.Done():
-	case <-time.After(r.options.For - time.Since(r.started)):
+	r.pace(ctx, 1)
+	if begun := r.begun.Load(); begun < r.wanted(1) && ctx.Err() == nil {
+		r.report.Failed = append(r.report.Failed, fmt.Sprintf("%d sessions were begun of %d", begun, r.wanted(1)))
 	}
 	stop()
 	loops.Wait()
@@ -191,26 +200,62 @@
 	r.sessions.Wait()
 }
 
+// keepSessions opens sessions at an even pace, and waits while many are opening: more
+// handshakes than the machine carries would delay every datagram of the others by seconds.
 func (r *run) keepSessions(opening, ctx context.Context) {
-	mean := meanLength(r.options.For)
-	gap := mean / time.Duration(r.options.Sessions)
-	ticker := time.NewTicker(max(gap, time.Millisecond))
+	ticker := time.NewTicker(r.gap())
 	defer ticker.Stop()
+	places := make(chan struct{}, max(r.options.Sessions/openingShare, 1))
 	for n := 0; ; n++ {
 		select {
 		case <-opening.Done():
 			return
 		case <-ticker.C:
 		}
-		plan := r.plan(n, mean)
+		select {
+		case <-opening.Done():
+			return
+		case places <- struct{}{}:
+		}
+		plan := r.plan(n, meanLength(r.options.For))
+		plan.Settled = sync.OnceFunc(func() { <-places })
+		r.begun.Add(1)
 		r.sessions.Go(func() {
-			if err := caller.Session(ctx, plan, r.world.oracle); err != nil {
+			defer plan.Settled()
+			if err := r.session(ctx, plan, r.world.oracle); err != nil {
 				r.world.log.Warn().Str("event", "session").Str("service", plan.Service).Err(err).Msg("session ended early")
 			}
 		})
 	}
 }
 
+// gap is the time between two openings.
+func (r *run) gap() time.Duration {
+	return max(meanLength(r.options.For)/time.Duration(r.options.Sessions), time.Millisecond)
+}
+
+// pace waits until a share of the run is over: of its time, and of the sessions that are
+// begun in that time. Where a slow machine opens them later the changes come later as
+// well, and meet as many.
+func (r *run) pace(ctx context.Context, share float64) {
+	sleep(ctx, time.Duration(share*float64(r.options.For))-time.Since(r.started))
+	for r.begun.Load() < r.wanted(share) && ctx.Err() == nil && time.Since(r.started) < longest*r.options.For {
+		sleep(ctx, paceEvery)
+	}
+}
+
+// wanted is how many sessions are to be begun in a share of the run.
+func (r *run) wanted(share float64) int64 {
+	return int64(share * float64(r.options.For/r.gap()))
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(max(d, 0)):
+	}
+}
+
 // meanLength is that of a session: a fifth of the run, so that each target
 // sees several generations of sessions and every change meets open ones.
 func meanLength(total time.Duration) time.Duration {
