Lines that lead from a session to its flow, and a flow that outlives its end is told

What could not be told from the lines of a trial: which flow and target a session that ended early had, and whether its agent had ended the flow. The trial's line has the session's number, the caller's address as balancers see it, and the target now; agents say at debug when a flow begins and ends, at most 100 lines a second.

An agent remembers the flows that it has ended as idle, as many as it may hold, and says once for each that goes on: the service's idle time is shorter than that of its connections, and callers lose flows for it. Its decision is unchanged: the walk goes on.

--- a/internal/connection/owner/decide.go
+++ b/internal/connection/owner/decide.go
@@ -65,6 +65,10 @@
 	Adopted bool
 	// Moved tells that the caller of an open flow has a new address.
 	Moved bool
+	// Outlived is how long the flow was silent when the datagram came, where this
+	// target has ended it as idle; told once a flow. Its connection lasts longer than
+	// the answers say, and is broken.
+	Outlived clock.Millis
 }
 
 // packet is one envelope on its way through the decisions. The lock of its
@@ -121,7 +125,10 @@
 	}
 	switch e.Stage {
 	case wire.Stage_STAGE_OWNED:
-		return t.walk(p)
+		silent := p.outlived()
+		d := t.walk(p)
+		d.Outlived = silent
+		return d
 	case wire.Stage_STAGE_MOVED:
 		return t.recognise(p)
 	case wire.Stage_STAGE_OPEN:
@@ -189,6 +196,16 @@
 	return Decision{Reason: NoOwner}
 }
 
+// outlived returns for how long a flow was silent that this target has ended as idle.
+func (p *packet) outlived() clock.Millis {
+	last, ok := p.shard.over.Get(p.caller)
+	if !ok {
+		return 0
+	}
+	p.shard.over.Remove(p.caller)
+	return p.now.Sub(last)
+}
+
 // visit notes this target in the envelope.
 func (p *packet) visit() {
 	if !slices.Contains(p.e.Visited, p.view.Self) {
--- a/internal/connection/owner/table.go
+++ b/internal/connection/owner/table.go
@@ -90,6 +90,8 @@
 	flows  map[netip.AddrPort]*Flow
 	memory *simplelru.LRU[netip.AddrPort, note]
 	claims *simplelru.LRU[netip.AddrPort, claim]
+	// over has the flows that ended as idle, with their last datagram.
+	over *simplelru.LRU[netip.AddrPort, clock.Millis]
 }
 
 // Table is the state of one agent. Workers share it.
@@ -118,6 +120,7 @@
 		s.flows = map[netip.AddrPort]*Flow{}
 		s.memory, _ = simplelru.NewLRU[netip.AddrPort, note](max(limits.Memory/shardCount, 1), nil)
 		s.claims, _ = simplelru.NewLRU[netip.AddrPort, claim](max(limits.Memory/shardCount, 1), nil)
+		s.over, _ = simplelru.NewLRU[netip.AddrPort, clock.Millis](max(limits.Flows/shardCount, 1), nil)
 	}
 	return t
 }
@@ -154,6 +157,7 @@
 	s.flows[f.Caller] = f
 	s.memory.Remove(f.Caller)
 	s.claims.Remove(f.Caller)
+	s.over.Remove(f.Caller)
 	t.count.Add(1)
 	if !f.Answered {
 		t.fresh.Add(1)
@@ -215,6 +219,7 @@
 		for _, f := range s.flows {
 			if all || t.over(now, f) {
 				t.remove(s, f)
+				s.over.Add(f.Caller, max(f.LastIn, f.LastOut))
 				ended = append(ended, f)
 				continue
 			}
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -28,6 +28,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/rs/zerolog"
@@ -86,20 +87,25 @@
 // library is making, with the balancer to answer through.
 const refusedKept = 1024
 
+// mostLines is how many lines about single flows are logged in a second.
+const mostLines = 100
+
 // Agent is one agent.
 type Agent struct {
 	settings Settings
 	deps     Deps
-	count    counters
-	table    *owner.Table
-	loads    *owner.Loads
-	sealer   *envelope.Sealer
-	pool     *upstream.Pool
-	refuser  *quic.Refuser
-	refused  *lru.Cache[netip.AddrPort, netip.AddrPort]
-	tunnel   *net.UDPConn
-	view     atomic.Pointer[owner.View]
-	report   atomic.Pointer[report]
+	// lines logs single flows, so many a second at most.
+	lines   zerolog.Logger
+	count   counters
+	table   *owner.Table
+	loads   *owner.Loads
+	sealer  *envelope.Sealer
+	pool    *upstream.Pool
+	refuser *quic.Refuser
+	refused *lru.Cache[netip.AddrPort, netip.AddrPort]
+	tunnel  *net.UDPConn
+	view    atomic.Pointer[owner.View]
+	report  atomic.Pointer[report]
 	// confirmed is when the last answered heartbeat was sent.
 	confirmed atomic.Int64
 	accepting atomic.Bool
@@ -164,7 +170,9 @@
 		return nil, errs.Wrap(err)
 	}
 	a := &Agent{
-		settings: settings, deps: deps, count: newCounters(deps.Scope), client: client, refused: refused,
+		settings: settings, deps: deps, count: newCounters(deps.Scope),
+		lines:  deps.Log.Sample(&zerolog.BurstSampler{Burst: mostLines, Period: time.Second}),
+		client: client, refused: refused,
 		sealer:   envelope.NewSealer(deps.Ring, envelope.Room(settings.MTU, settings.Tunnel.Addr())),
 		observer: owner.NewObserver(target.IDOf(settings.Name)), kept: map[string]keptLedger{}, fatal: make(chan error, 1), differs: make(chan struct{}, 1),
 	}
--- a/internal/process/agent/count.go
+++ b/internal/process/agent/count.go
@@ -12,7 +12,7 @@
 	answered, late, hinted, ended              tally.Counter
 	forged, malformed, large, unsent, fenced   tally.Counter
 	digests, digestsLate, announced, unheard   tally.Counter
-	restored, unrestored                       tally.Counter
+	restored, unrestored, outlived             tally.Counter
 	flows                                      tally.Gauge
 	dropped                                    map[owner.Reason]tally.Counter
 }
@@ -26,7 +26,7 @@
 		unsent: s.Counter("unsent"), fenced: s.Counter("fenced"),
 		digests: s.Counter("digests"), digestsLate: s.Counter("digests_late"),
 		announced: s.Counter("announced"), unheard: s.Counter("unheard"),
-		restored: s.Counter("restored"), unrestored: s.Counter("unrestored"),
+		restored: s.Counter("restored"), unrestored: s.Counter("unrestored"), outlived: s.Counter("outlived"),
 		flows: s.Gauge("flows"), dropped: map[owner.Reason]tally.Counter{},
 	}
 	for _, r := range owner.Reasons {
@@ -34,3 +34,10 @@
 	}
 	return c
 }
+
+// flowLine logs what became of a flow.
+func (a *Agent) flowLine(event string, f *owner.Flow) {
+	a.lines.Debug().Str("event", event).Stringer("caller", f.Caller).Uint64("opening", f.Opening).
+		Uint16("port", f.Link.Port()).Bool("answered", f.Answered).
+		Int64("age", int64(a.deps.Clock.Now().Sub(f.Started))).Msg("flow")
+}
--- a/internal/process/agent/keep.go
+++ b/internal/process/agent/keep.go
@@ -36,7 +36,7 @@
 // more, and reports whether there was one. The lock is held.
 func (a *Agent) dropGiven() bool {
 	for target, l := range a.kept {
-		if l.taker != 0 || a.outlived(&l) {
+		if l.taker != 0 || a.tooOld(&l) {
 			delete(a.kept, target)
 			return true
 		}
@@ -44,9 +44,9 @@
 	return false
 }
 
-// outlived reports that nobody has served a ledger's flows for longer than any of them may
+// tooOld reports that nobody has served a ledger's flows for longer than any of them may
 // be idle. Several peers may keep one ledger, and its successor takes it from one of them.
-func (a *Agent) outlived(l *keptLedger) bool {
+func (a *Agent) tooOld(l *keptLedger) bool {
 	return a.record.Idle > 0 && a.deps.Clock.Now().Sub(l.at) > a.record.Idle
 }
 
@@ -58,7 +58,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	l, ok := a.kept[r.Target]
-	if !ok || a.outlived(&l) || l.taker != 0 && l.taker != r.Incarnation {
+	if !ok || a.tooOld(&l) || l.taker != 0 && l.taker != r.Incarnation {
 		return &wire.Taken{}
 	}
 	l.taker = r.Incarnation
--- a/internal/process/agent/load.go
+++ b/internal/process/agent/load.go
@@ -197,6 +197,7 @@
 		for _, f := range a.table.Expire(now, a.drainOver(now)) {
 			f.Link.Close()
 			a.count.ended.Inc(1)
+			a.flowLine("ended", f)
 			a.tellEnd(f)
 		}
 	}
--- a/internal/process/agent/tunnel.go
+++ b/internal/process/agent/tunnel.go
@@ -112,9 +112,19 @@
 			Service: e.Service, Target: view.Self, Caller: envelope.Caller(e.Caller).String(), Outcome: string(d.Reason),
 		})
 	}
+	if d.Outlived > 0 {
+		a.outlived(envelope.Caller(e.Caller), d.Outlived)
+	}
 	a.act(w, d, via)
 }
 
+// outlived tells the operators of a flow that broke because it was idle for too long.
+func (a *Agent) outlived(caller netip.AddrPort, silent clock.Millis) {
+	a.count.outlived.Inc(1)
+	a.lines.Warn().Str("event", "outlived").Stringer("caller", caller).Int64("age", int64(silent)).
+		Msg("the flow went on after it was ended as idle: its connection may be silent for longer than the service's idle time")
+}
+
 // told takes what an owner says about a flow to the flow's home.
 func (a *Agent) told(now clock.Millis, e *wire.Envelope) {
 	if !a.addressed(e) {
@@ -154,6 +164,7 @@
 func (a *Agent) deliver(w *worker, d owner.Decision, via netip.AddrPort) {
 	if d.Adopted {
 		a.count.adopted.Inc(1)
+		a.flowLine("adopted", d.Flow)
 	}
 	if d.Moved {
 		a.count.moved.Inc(1)
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -11,6 +11,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/netip"
@@ -34,6 +35,24 @@
 // ErrRefused means that the session was refused before anything ran.
 var ErrRefused = errs.New("caller: refused")
 
+// EarlyError is the error of a session that ended before its time. Its caller's address is
+// the one towards the network.
+type EarlyError struct {
+	Session uint64
+	Caller  netip.AddrPort
+	Err     error
+}
+
+// Error names the session.
+func (e *EarlyError) Error() string {
+	return fmt.Sprintf("caller: session %d from %s: %v", e.Session, e.Caller, e.Err)
+}
+
+// Unwrap returns why the session ended.
+func (e *EarlyError) Unwrap() error {
+	return e.Err
+}
+
 // Plan is what one session does.
 type Plan struct {
 	Service string
@@ -70,8 +89,9 @@
 	if errors.Is(err, ErrRefused) {
 		o.Refused(id)
 	}
+	early := &EarlyError{Session: id, Caller: packet.LocalAddr().(*net.UDPAddr).AddrPort(), Err: err}
 	if err != nil {
-		return err
+		return early
 	}
 	o.Opened()
 	s := &session{id: id, conn: c, plan: p, oracle: o}
@@ -80,7 +100,11 @@
 	if err != nil && ctx.Err() == nil {
 		o.Broken(id)
 	}
-	return err
+	if err == nil {
+		return nil
+	}
+	early.Err = err
+	return early
 }
 
 func open(ctx context.Context, t *quic.Transport, p Plan) (*quic.Conn, error) {
--- a/internal/standin/exchange/exchange.go
+++ b/internal/standin/exchange/exchange.go
@@ -194,6 +194,13 @@
 	o.served[session] = target
 }
 
+// Served returns the target that a session's requests ran at; none ran where it is empty.
+func (o *Oracle) Served(session uint64) string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.served[session]
+}
+
 // Late notes that a target got new work too long after its drain began.
 func (o *Oracle) Late() {
 	o.mu.Lock()
--- a/internal/standin/fabric/fabric.go
+++ b/internal/standin/fabric/fabric.go
@@ -106,6 +106,31 @@
 	}
 }
 
+// Seen returns the address that balancers see for a caller of a service's port.
+func (f *Fabric) Seen(port uint16, caller netip.AddrPort) (netip.AddrPort, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.services {
+		if s.port != port {
+			continue
+		}
+		if seen, ok := s.seen(caller); ok {
+			return seen, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+func (s *service) seen(caller netip.AddrPort) (netip.AddrPort, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, ok := s.callers[caller]
+	if !ok {
+		return netip.AddrPort{}, false
+	}
+	return c.LocalAddr().(*net.UDPAddr).AddrPort(), true
+}
+
 // Close ends the fabric.
 func (f *Fabric) Close() {
 	f.mu.Lock()
--- a/internal/try/run.go
+++ b/internal/try/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -223,12 +224,24 @@
 		r.sessions.Go(func() {
 			defer plan.Settled()
 			if err := r.session(ctx, plan, r.world.oracle); err != nil {
-				r.world.log.Warn().Str("event", "session").Str("service", plan.Service).Err(err).Msg("session ended early")
+				r.endedEarly(&plan, err)
 			}
 		})
 	}
 }
 
+// endedEarly logs a session with the address that the product knows its flow by, and the
+// target that has served it.
+func (r *run) endedEarly(p *caller.Plan, err error) {
+	line := r.world.log.Warn().Str("event", "session").Str("service", p.Service)
+	var early *caller.EarlyError
+	if errors.As(err, &early) {
+		seen, _ := r.world.fabric.Seen(p.Address.Port(), early.Caller)
+		line = line.Uint64("session", early.Session).Stringer("caller", seen).Str("target", r.world.oracle.Served(early.Session))
+	}
+	line.Err(err).Msg("session ended early")
+}
+
 // gap is the time between two openings.
 func (r *run) gap() time.Duration {
 	return max(meanLength(r.options.For)/time.Duration(r.options.Sessions), time.Millisecond)
