agent: a successor serves the flows it has taken over before it tells of itself

Callers saw: datagrams of flows beside a restarted agent that stayed where they were for up to a second, although the agent had their flows and its socket open.

Cause: Start announced the target to all its contacts and waited for every answer, or a second for each that is dead or slow, before a worker read the tunnel.

Fix: the workers start first; datagrams of balancers that do not know the new tunnel yet are unaffected.

--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -212,8 +212,8 @@
 		return err
 	}
 	a.join()
-	a.announce(ctx)
 	a.serve(ctx)
+	a.announce(ctx)
 	a.removeLedger(ctx)
 	a.deps.Log.Info().Str("event", "started").Uint32("incarnation", a.self.Incarnation).
 		Int("flows", a.table.Len()).Msg("agent started")
