--- a/internal/process/agent/handover_test.go
+++ b/internal/process/agent/handover_test.go
@@ -42,8 +42,8 @@
 	serveAs(t, a, &slow{peer: peer, delay: 1200 * time.Millisecond})
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
-	if !a.leaveWithPeer(ctx, &owner.Ledger{Target: a.object(), Incarnation: 4}) {
-		t.Error("no peer took the flows")
+	if _, err := leave(ctx, a.peerRecipients(&owner.Ledger{Target: a.object(), Incarnation: 4})); err != nil {
+		t.Errorf("no peer took the flows: %v", err)
 	}
 }
 
@@ -54,7 +54,7 @@
 	serveAs(t, a, &late{peer: peer})
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
-	if !a.leaveWithPeer(ctx, &owner.Ledger{Target: a.object(), Incarnation: 4}) {
-		t.Error("no peer took the flows")
+	if _, err := leave(ctx, a.peerRecipients(&owner.Ledger{Target: a.object(), Incarnation: 4})); err != nil {
+		t.Errorf("no peer took the flows: %v", err)
 	}
 }
--- a/internal/process/agent/takeover.go
+++ b/internal/process/agent/takeover.go
@@ -64,11 +64,6 @@
 	return a.newer(l, a.askAll(ctx, append(silent, a.peerSources()...)))
 }
 
-// askPeers returns the newest ledger that a peer keeps.
-func (a *Agent) askPeers(ctx context.Context) *owner.Ledger {
-	return a.askAll(ctx, a.peerSources())
-}
-
 // askAll asks sources until each has answered, or until there is nothing newer to be had.
 // Who does not answer is asked again and given longer.
 func (a *Agent) askAll(ctx context.Context, left []source) *owner.Ledger {
--- a/internal/process/agent/takeover_test.go
+++ b/internal/process/agent/takeover_test.go
@@ -61,6 +61,11 @@
 	serveAs(t, a, &slow{peer: peer, delay: delay})
 }
 
+// askPeers returns the newest ledger that a peer keeps.
+func (a *Agent) askPeers(ctx context.Context) *owner.Ledger {
+	return a.askAll(ctx, a.peerSources())
+}
+
 // taker is an agent that starts as the successor of incarnation 3, before it has looked
 // for flows.
 func taker(t *testing.T, s *store) *Agent {
