agent: a test of how a successor held none of its flows

Since the leaver goes on until somebody has the ledger, the successor gets it (1.2 s). So the fix of the leaver removes this order of events; that it was this one that time is not proven.

--- a/internal/process/agent/handover_test.go
+++ b/internal/process/agent/handover_test.go
@@ -13,14 +13,17 @@
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
 )
 
-// slow is a peer that takes its time before it does anything.
+// slow is a peer that takes its time before it does anything, or one thing.
 type slow struct {
 	peer  *Agent
 	delay time.Duration
+	only  control.Method
 }
 
 func (s *slow) Handle(ctx context.Context, m control.Method, params json.RawMessage) (any, error) {
-	time.Sleep(s.delay)
+	if s.only == "" || s.only == m {
+		time.Sleep(s.delay)
+	}
 	return s.peer.Handle(ctx, m, params)
 }
 
@@ -58,3 +61,18 @@
 		t.Errorf("no peer took the flows: %v", err)
 	}
 }
+
+// The only peer is late to keep the flows of an agent that is restarted without the
+// platform, and tells its successor at once what it keeps. The successor must not begin
+// with none of them.
+func TestSuccessorGetsWhatSlowPeerKeeps(t *testing.T) {
+	a, peer := newTest(t, clock.System()), newTest(t, clock.System())
+	serveAs(t, a, &slow{peer: peer, delay: 1200 * time.Millisecond, only: control.Keep})
+	a.deps.Store = &store{silent: 1000}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	a.handOver(ctx, &owner.Ledger{Target: a.object(), Incarnation: 3})
+	if l := a.findLedger(ctx); l == nil || l.Incarnation != 3 {
+		t.Errorf("got %+v", l)
+	}
+}
