agent: flows of a predecessor do not wait for a platform that is slow

Callers saw: silence for twelve seconds beside a restarted agent while the platform took two seconds for each answer; sessions broke.

Cause of what was left: two calls for the next incarnation, two seconds each.

Fix: they have a second in all if the balancers know the predecessor; its incarnation is counted up from theirs then, as when the platform is down. If they do not know it, only the platform can tell, and has ten seconds.

--- a/internal/process/agent/incarnation.go
+++ b/internal/process/agent/incarnation.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/zeebo/errs"
@@ -18,6 +19,22 @@
 	ID string `json:"id"`
 }
 
+const (
+	// flowsWait is how long the flows of a predecessor wait for a slow platform to give
+	// their target's next incarnation.
+	flowsWait = time.Second
+	// firstWait is how long a target waits that the balancers do not know: only the
+	// platform can tell whether it had a predecessor.
+	firstWait = 10 * time.Second
+)
+
+func holdLimit(known uint32) time.Duration {
+	if known > 0 {
+		return flowsWait
+	}
+	return firstWait
+}
+
 // object is the name of this target's objects in the platform.
 func (a *Agent) object() string {
 	return a.settings.Service + "." + a.settings.Name
@@ -30,8 +47,10 @@
 func (a *Agent) incarnate(ctx context.Context, known uint32) error {
 	next := known + 1
 	mine := holder{ID: uuid.NewString()}
+	limited, cancel := context.WithTimeout(ctx, holdLimit(known))
+	defer cancel()
 	for range tries {
-		n, err := a.hold(ctx, known, &mine)
+		n, err := a.hold(limited, known, &mine)
 		if err == nil {
 			next = n
 			break
