agent: flows outlive an agent that is told to stop while it starts

Callers would see: all flows of a target silent after its agent was restarted twice in a row.

Cause: a start that is told to stop gave up at once. A peer gives a ledger to one successor only, and the platform's copy was removed when it had been read, so the flows were gone with the process that had taken them but did not serve yet. And where the signal came together with the end of the start, the program ended an agent that served without handing anything over.

Fix: the questions (bounded, 5 s) are not cut short; what was taken is left for the next agent under this one's incarnation. A start ends when its flows are served: telling of itself and removing the platform's copy go on beside it, so a stop after that is a planned one. A signal that meets the end of a start stops as planned.

--- a/cmd/wagtailtrayd/agent.go
+++ b/cmd/wagtailtrayd/agent.go
@@ -63,12 +63,10 @@
 			a.Kill()
 			return err
 		case <-ch:
-			if started != nil {
+			if started != nil && stoppedBefore(cancel, started) {
 				// Nothing is served yet, so nothing is handed over.
-				cancel()
-				err := <-started
 				a.Kill()
-				deps.Log.Info().Str("event", "stopping").AnErr("start", err).Msg("stopped before it served")
+				deps.Log.Info().Str("event", "stopping").Msg("stopped before it served")
 				return nil
 			}
 			deps.Log.Info().Str("event", "stopping").Msg("planned stop")
@@ -80,6 +78,13 @@
 	}
 }
 
+// stoppedBefore ends a start, and reports that it had not come to its end: the signal and
+// the end may come together, and what serves already must be stopped as planned.
+func stoppedBefore(cancel context.CancelFunc, started <-chan error) bool {
+	cancel()
+	return <-started != nil
+}
+
 // settings checks the flags and turns them into settings.
 func (c *agentCommand) settings() (agent.Settings, agent.Deps, error) {
 	k := &checker{}
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -207,14 +207,18 @@
 	}
 	// The ledger's local ports are taken first: a tunnel on any free port
 	// could otherwise get one of them, and that flow would be lost.
-	a.takeLedger(ctx)
+	if err := a.takeLedger(ctx); err != nil {
+		return err
+	}
 	if err := a.openTunnel(); err != nil {
 		return err
 	}
 	a.join()
 	a.serve(ctx)
-	a.announce(ctx)
-	a.removeLedger(ctx)
+	a.parts.Go(func() {
+		a.announce(ctx)
+		a.removeLedger(ctx)
+	})
 	a.deps.Log.Info().Str("event", "started").Uint32("incarnation", a.self.Incarnation).
 		Int("flows", a.table.Len()).Msg("agent started")
 	return nil
--- a/internal/process/agent/takeover.go
+++ b/internal/process/agent/takeover.go
@@ -31,11 +31,18 @@
 	ask func(context.Context) (*owner.Ledger, error)
 }
 
-// takeLedger takes up what the predecessor left with the platform or a peer.
-func (a *Agent) takeLedger(ctx context.Context) {
-	l := a.findLedger(ctx)
+// takeLedger takes up what the predecessor left with the platform or a peer. If the agent
+// is told to stop meanwhile, it leaves the flows for the next one: who gave them gives them
+// to nobody else.
+func (a *Agent) takeLedger(ctx context.Context) error {
+	l := a.findLedger(context.WithoutCancel(ctx))
 	if l == nil {
-		return
+		return ctx.Err()
+	}
+	if ctx.Err() != nil {
+		l.Incarnation = a.self.Incarnation
+		a.handOver(context.WithoutCancel(ctx), l)
+		return ctx.Err()
 	}
 	lost := a.table.Import(a.deps.Clock.Now(), l, a.pool)
 	a.inherited.Store(true)
@@ -46,6 +53,7 @@
 	}
 	a.deps.Log.Info().Str("event", "restored").Int("flows", len(l.Flows)-len(lost)).
 		Uint32("of", l.Incarnation).Uint32("incarnation", a.self.Incarnation).Msg("flows taken over")
+	return nil
 }
 
 // findLedger returns the newest ledger of the predecessors.
--- a/internal/process/agent/takeover_test.go
+++ b/internal/process/agent/takeover_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/wagtailtray/wagtailtray/internal/connection/owner"
+	"github.com/wagtailtray/wagtailtray/internal/process/control"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
 	"github.com/wagtailtray/wagtailtray/pkg/platform"
 	"github.com/wagtailtray/wagtailtray/pkg/wire"
@@ -35,6 +37,10 @@
 	return platform.Object{Spec: data}, err
 }
 
+func (s *store) List(context.Context, platform.Kind) (platform.List, error) {
+	return platform.List{}, platform.ErrUnavailable
+}
+
 func (s *store) Delete(context.Context, platform.Kind, platform.Object) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -115,6 +121,35 @@
 	}
 }
 
+// stopping is a peer at whose first call the caller is told to stop.
+type stopping struct {
+	peer *Agent
+	stop context.CancelFunc
+}
+
+func (s *stopping) Handle(ctx context.Context, m control.Method, params json.RawMessage) (any, error) {
+	s.stop()
+	return s.peer.Handle(ctx, m, params)
+}
+
+// An agent is told to stop while it takes over its predecessor's flows from a peer, which
+// gives them to no later one. They must not be lost with it.
+func TestFlowsOutliveStoppedStart(t *testing.T) {
+	a, peer := taker(t, &store{silent: 1000}), newTest(t, clock.System())
+	ctx, cancel := context.WithCancel(t.Context())
+	serveAs(t, a, &stopping{peer: peer, stop: cancel})
+	if err := peer.keep(&wire.Keep{Target: "web.t1", Ledger: []byte(`{"target":"web.t1","incarnation":3}`)}); err != nil {
+		t.Fatal(err)
+	}
+	if err := a.takeLedger(ctx); !errors.Is(err, context.Canceled) {
+		t.Errorf("the start ended with %v", err)
+	}
+	a.self.Incarnation++
+	if l := a.findLedger(t.Context()); l == nil || l.Incarnation != 4 {
+		t.Errorf("the next one got %+v", l)
+	}
+}
+
 // Two peers keep one ledger, and its successor has taken it from the other one. A later
 // successor must not get the flows of long ago from this one.
 func TestOldLedgerIsNotGiven(t *testing.T) {
