--- a/internal/process/agent/handover_test.go
+++ b/internal/process/agent/handover_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -76,3 +77,43 @@
 		t.Errorf("got %+v", l)
 	}
 }
+
+// Peers are dead and swallow what they are asked. No more than three of them hold a whole
+// ledger at a time, and one that is well is reached behind them.
+func TestDeadPeersHoldFewLedgers(t *testing.T) {
+	var mu sync.Mutex
+	busy, most := 0, 0
+	count := func(n int) {
+		mu.Lock()
+		defer mu.Unlock()
+		busy += n
+		most = max(most, busy)
+	}
+	dead := recipient{name: "dead", keep: func(ctx context.Context) error {
+		count(1)
+		defer count(-1)
+		<-ctx.Done()
+		return ctx.Err()
+	}}
+	well := recipient{name: "well", keep: func(context.Context) error { return nil }}
+	to, err := leave(t.Context(), []recipient{dead, dead, dead, dead, well})
+	if err != nil || to != "well" || most != mostOffers {
+		t.Errorf("left with %q, %v; %d at a time", to, err, most)
+	}
+}
+
+// A suspected peer may be dead. It is asked last, and one that has left not at all.
+func TestSuspectedPeersAreAskedLast(t *testing.T) {
+	a := newTest(t, &clock.Manual{})
+	for _, m := range []member.Member{
+		{Key: member.Key{Name: "suspected"}, State: member.Alive, Suspected: true},
+		{Key: member.Key{Name: "left"}, State: member.Left},
+		{Key: member.Key{Name: "well"}, State: member.Draining},
+	} {
+		a.peers = append(a.peers, m)
+	}
+	got := a.peerList()
+	if len(got) != 2 || got[0].Name != "well" || got[1].Name != "suspected" {
+		t.Errorf("asked in the order %+v", got)
+	}
+}
