--- a/internal/process/agent/count.go
+++ b/internal/process/agent/count.go
@@ -35,9 +35,9 @@
 	return c
 }
 
-// flowLine logs what became of a flow.
+// flowLine logs what became of a flow, by what does not change while it is open.
 func (a *Agent) flowLine(event string, f *owner.Flow) {
 	a.lines.Debug().Str("event", event).Stringer("caller", f.Caller).Uint64("opening", f.Opening).
-		Uint16("port", f.Link.Port()).Bool("answered", f.Answered).
+		Uint16("port", f.Link.Port()).
 		Int64("age", int64(a.deps.Clock.Now().Sub(f.Started))).Msg("flow")
 }
