agent: an announcement's answer leaves the contacts of a beat alone

Callers would see: a target that is well suspected, so its share of new flows goes elsewhere and openings are searched for.

Cause: takePeers wrote the new contacts into the old slice. A beat takes its part of that slice under the lock and sends after it, so it may read an address half written, or go to another contact than the one whose silence it counts.

Fix: new slices. Looked for the same in all processes ([:0] on fields): no other.

Test: TestBeatKeepsItsContacts fails before it (the beat goes to the new contact).

--- a/internal/process/agent/agent_test.go
+++ b/internal/process/agent/agent_test.go
@@ -227,3 +227,20 @@
 		t.Error("the table is written down while a worker still adds to it")
 	}
 }
+
+// A heartbeat is on its way to the contacts when an announcement's answer brings others.
+// It must not go to an address that is being written.
+func TestBeatKeepsItsContacts(t *testing.T) {
+	a := newTest(t, &clock.Manual{})
+	told := func(view uint64, tunnel string) *wire.Announced {
+		return &wire.Announced{View: view, Contacts: []*wire.Member{{
+			Kind: string(member.Balancer), Name: "b", State: string(member.Alive), Tunnels: []string{tunnel},
+		}}}
+	}
+	a.takePeers(told(1, "10.0.0.1:1"))
+	_, to := a.beats.next(1000, a.tunnels)
+	a.takePeers(told(2, "10.0.0.2:1"))
+	if len(to) != 1 || to[0] != netip.MustParseAddrPort("10.0.0.1:1") {
+		t.Errorf("the beat goes to %v", to)
+	}
+}
--- a/internal/process/agent/view.go
+++ b/internal/process/agent/view.go
@@ -63,14 +63,13 @@
 		return
 	}
 	a.viewHash = r.View
-	a.peers = a.peers[:0]
+	// New slices: a beat that is being sent reads the old ones without the lock.
+	a.peers, a.contacts, a.tunnels = nil, nil, nil
 	for _, w := range r.Peers {
 		if m, err := member.FromWire(w); err == nil && m.Key != a.self.Key {
 			a.peers = append(a.peers, m)
 		}
 	}
-	a.contacts = a.contacts[:0]
-	a.tunnels = a.tunnels[:0]
 	for _, w := range r.Contacts {
 		if m, err := member.FromWire(w); err == nil {
 			a.contacts = append(a.contacts, m.Control)
