--- a/internal/process/agent/handover_test.go
+++ b/internal/process/agent/handover_test.go
@@ -105,12 +105,10 @@
 // A suspected peer may be dead. It is asked last, and one that has left not at all.
 func TestSuspectedPeersAreAskedLast(t *testing.T) {
 	a := newTest(t, &clock.Manual{})
-	for _, m := range []member.Member{
+	a.peers = []member.Member{
 		{Key: member.Key{Name: "suspected"}, State: member.Alive, Suspected: true},
 		{Key: member.Key{Name: "left"}, State: member.Left},
 		{Key: member.Key{Name: "well"}, State: member.Draining},
-	} {
-		a.peers = append(a.peers, m)
 	}
 	got := a.peerList()
 	if len(got) != 2 || got[0].Name != "well" || got[1].Name != "suspected" {
