--- a/internal/process/agent/handover_test.go
+++ b/internal/process/agent/handover_test.go
@@ -39,16 +39,22 @@
 	a.peers = append(a.peers, member.Member{State: member.Alive, Control: server.Address()})
 }
 
+// leaveWithPeer fails the test if no peer takes the flows.
+func leaveWithPeer(t *testing.T, a *Agent) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), handoverLimit)
+	defer cancel()
+	if _, err := leave(ctx, a.peerRecipients(&owner.Ledger{Target: a.object(), Incarnation: 4})); err != nil {
+		t.Errorf("no peer took the flows: %v", err)
+	}
+}
+
 // Every peer of a stopping agent is short of processor time and answers after more than a
 // second. The flows must not be lost for that.
 func TestFlowsAreLeftWithSlowPeer(t *testing.T) {
 	a, peer := newTest(t, clock.System()), newTest(t, clock.System())
 	serveAs(t, a, &slow{peer: peer, delay: 1200 * time.Millisecond})
-	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
-	defer cancel()
-	if _, err := leave(ctx, a.peerRecipients(&owner.Ledger{Target: a.object(), Incarnation: 4})); err != nil {
-		t.Errorf("no peer took the flows: %v", err)
-	}
+	leaveWithPeer(t, a)
 }
 
 // The only peer cannot be reached for a moment while an agent stops. The flows must not be
@@ -56,11 +62,7 @@
 func TestFlowsAreLeftAtTheSecondTry(t *testing.T) {
 	a, peer := newTest(t, clock.System()), newTest(t, clock.System())
 	serveAs(t, a, &late{peer: peer})
-	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
-	defer cancel()
-	if _, err := leave(ctx, a.peerRecipients(&owner.Ledger{Target: a.object(), Incarnation: 4})); err != nil {
-		t.Errorf("no peer took the flows: %v", err)
-	}
+	leaveWithPeer(t, a)
 }
 
 // The only peer is late to keep the flows of an agent that is restarted without the
