agent: open flows outlive a standstill of their agent

Cause: an agent whose lease has lapsed drops all it reads until a heartbeat is answered. After a standstill of the whole process that meets every flow, and callers take the standstill for a round trip, so their next copies come many seconds later.

Nothing of it ran from 38.63 to 41.89 s; then agents dropped five of one caller's datagrams as fenced between 41.94 and 42.25, and the caller sent none again until its 10 s were over. What stopped the process is unknown.

Fix: datagrams of flows that the agent owns are held (512, a second) and go on when the lease is confirmed; a replaced agent never releases them. Openings and placements are dropped as before. Holding those too was tried on paper and dropped: they may have waited in the socket as long as the process stood still, and been placed elsewhere.

Tests: TestOpenFlowOutlivesPause fails before it (1 datagram has reached the upstream, not 2); TestPlacementDoesNotOutlivePause and TestHeldIsDroppedByReplaced guard the lease's promise.

--- a/internal/connection/owner/table.go
+++ b/internal/connection/owner/table.go
@@ -142,6 +142,15 @@
 	return &t.shards[xxh3.Hash(b)%shardCount]
 }
 
+// Owns reports that a caller's flow is open here.
+func (t *Table) Owns(caller netip.AddrPort) bool {
+	s := t.shard(caller)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.flows[caller]
+	return ok
+}
+
 // Len returns the number of open flows.
 func (t *Table) Len() int {
 	return int(t.count.Load())
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -108,9 +108,14 @@
 	report  atomic.Pointer[report]
 	// confirmed is when the last answered heartbeat was sent.
 	confirmed atomic.Int64
-	accepting atomic.Bool
-	sequence  atomic.Uint64
-	buffers   sync.Pool
+	// held is what came while the agent was fenced, confirmations wakes who takes it up,
+	// and closing is closed with the tunnel.
+	held          chan held
+	confirmations chan struct{}
+	closing       chan struct{}
+	accepting     atomic.Bool
+	sequence      atomic.Uint64
+	buffers       sync.Pool
 	// leaseTime, digestTime and rampTime are values of the configuration
 	// that the packet path reads, in milliseconds.
 	leaseTime  atomic.Int64
@@ -151,10 +156,11 @@
 	client  *control.Client
 	fatal   chan error
 	// differs tells that a beat's answer showed a difference.
-	differs chan struct{}
-	stopped atomic.Bool
-	cancel  context.CancelFunc
-	parts   tasks.Group
+	differs  chan struct{}
+	stopped  atomic.Bool
+	shutting sync.Once
+	cancel   context.CancelFunc
+	parts    tasks.Group
 	// workers are the parts that take envelopes.
 	workers tasks.Group
 }
@@ -171,7 +177,8 @@
 	}
 	a := &Agent{
 		settings: settings, deps: deps, count: newCounters(deps.Scope),
-		lines:  deps.Log.Sample(&zerolog.BurstSampler{Burst: mostLines, Period: time.Second}),
+		lines: deps.Log.Sample(&zerolog.BurstSampler{Burst: mostLines, Period: time.Second}),
+		held:  make(chan held, mostHeld), confirmations: make(chan struct{}, 1), closing: make(chan struct{}),
 		client: client, refused: refused,
 		sealer:   envelope.NewSealer(deps.Ring, envelope.Room(settings.MTU, settings.Tunnel.Addr())),
 		observer: owner.NewObserver(target.IDOf(settings.Name)), kept: map[string]keptLedger{}, fatal: make(chan error, 1), differs: make(chan struct{}, 1),
@@ -272,6 +279,7 @@
 	for range max(a.settings.Workers, 1) {
 		a.workers.Go(a.serveTunnel)
 	}
+	a.workers.Go(a.releases)
 	a.parts.Go(func() { a.heartbeats(ctx) })
 	a.parts.Go(func() { a.digests(ctx) })
 	a.parts.Go(func() { a.sweeps(ctx) })
@@ -330,10 +338,7 @@
 	if a.server != nil {
 		a.server.Close()
 	}
-	if a.tunnel != nil {
-		_ = a.tunnel.Close()
-	}
-	a.workers.Wait()
+	a.shut()
 	a.parts.Wait()
 	if a.pool != nil {
 		a.pool.Close()
--- a/internal/process/agent/beat.go
+++ b/internal/process/agent/beat.go
@@ -152,4 +152,7 @@
 	if int64(sent) > a.confirmed.Load() {
 		a.confirmed.Store(int64(sent))
 	}
+	if len(a.held) > 0 {
+		a.wake()
+	}
 }
--- a/internal/process/agent/handover.go
+++ b/internal/process/agent/handover.go
@@ -54,7 +54,12 @@
 // Closing the socket does not stop a worker that still holds an opening, whose flow would
 // be in no ledger; waiting for it does.
 func (a *Agent) shut() {
-	_ = a.tunnel.Close()
+	a.shutting.Do(func() {
+		close(a.closing)
+		if a.tunnel != nil {
+			_ = a.tunnel.Close()
+		}
+	})
 	a.workers.Wait()
 }
 
--- a/internal/process/agent/tunnel.go
+++ b/internal/process/agent/tunnel.go
@@ -18,6 +18,7 @@
 // worker holds what one envelope needs, and is used for the next one again.
 type worker struct {
 	in       [envelope.MaxDatagram]byte
+	size     int
 	out      []byte
 	via      []byte
 	envelope wire.Envelope
@@ -35,7 +36,7 @@
 }
 
 func (a *Agent) serveTunnel() {
-	w := &worker{out: make([]byte, 0, envelope.MaxDatagram), opener: envelope.NewOpener(a.deps.Ring)}
+	w := a.newWorker()
 	for {
 		n, from, err := a.tunnel.ReadFromUDPAddrPort(w.in[:])
 		if errors.Is(err, net.ErrClosed) {
@@ -44,13 +45,22 @@
 		if err != nil {
 			continue
 		}
-		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
-		if err := w.opener.Open(&w.envelope, w.in[:n]); err != nil {
-			a.reject(err)
-			continue
-		}
-		a.receive(w, from)
+		w.size = n
+		a.take(w, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+	}
+}
+
+func (a *Agent) newWorker() *worker {
+	return &worker{out: make([]byte, 0, envelope.MaxDatagram), opener: envelope.NewOpener(a.deps.Ring)}
+}
+
+// take does what the datagram in a worker's buffer asks for.
+func (a *Agent) take(w *worker, from netip.AddrPort) {
+	if err := w.opener.Open(&w.envelope, w.in[:w.size]); err != nil {
+		a.reject(err)
+		return
 	}
+	a.receive(w, from)
 }
 
 func (a *Agent) reject(err error) {
@@ -82,7 +92,7 @@
 
 // fenced reports that no heartbeat was answered within the lease.
 //
-// A process that was paused may have been replaced. It drops what it reads until a
+// A process that was paused may have been replaced. It holds what it reads until a
 // heartbeat sent after the pause is answered, and that answer tells it of the successor.
 func (a *Agent) fenced(now clock.Millis) bool {
 	return now.Sub(clock.Millis(a.confirmed.Load())) > a.lease()
@@ -90,7 +100,7 @@
 
 func (a *Agent) forwarded(w *worker, now clock.Millis, from netip.AddrPort) {
 	if a.fenced(now) {
-		a.count.fenced.Inc(1)
+		a.holdBack(w, now, from)
 		return
 	}
 	e := &w.envelope
