--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -26,6 +26,7 @@
 const (
 	// handshakeLimit is how long a caller tries to open a session.
 	handshakeLimit = 10 * time.Second
+	idle           = 20 * time.Second
 	keepAlive      = 2 * time.Second
 	// answerLimit is how long a caller waits for an answer beyond the time
 	// that the answer takes by itself.
@@ -67,8 +68,6 @@
 	// a download at the start; 0 for none.
 	Ticks, Every int
 	Bytes        int
-	// Settled is called when the session is open or cannot be opened; may be nil.
-	Settled func()
 }
 
 // Session runs one session to its end. The error is for the log: the oracle
@@ -83,9 +82,6 @@
 	transport := &quic.Transport{Conn: packet}
 	defer func() { _ = transport.Close() }()
 	c, err := open(ctx, transport, p)
-	if p.Settled != nil {
-		p.Settled()
-	}
 	if errors.Is(err, ErrRefused) {
 		o.Refused(id)
 	}
@@ -111,7 +107,7 @@
 	ctx, cancel := context.WithTimeout(ctx, handshakeLimit)
 	defer cancel()
 	config := &quic.Config{
-		HandshakeIdleTimeout: handshakeLimit, MaxIdleTimeout: exchange.Idle, KeepAlivePeriod: keepAlive,
+		HandshakeIdleTimeout: handshakeLimit, MaxIdleTimeout: idle, KeepAlivePeriod: keepAlive,
 	}
 	c, err := t.Dial(ctx, net.UDPAddrFromAddrPort(p.Address), exchange.ClientTLS(), config)
 	var refused *quic.TransportError
--- a/internal/standin/exchange/exchange.go
+++ b/internal/standin/exchange/exchange.go
@@ -21,14 +21,8 @@
 
 import (
 	"sync"
-	"time"
 )
 
-// Idle is how long both ends keep a connection on which nothing arrives. Between two
-// copies of a datagram a sender waits twice as long each time, so a flow is silent for
-// seconds without being over.
-const Idle = 20 * time.Second
-
 // Op is what a request asks for.
 type Op string
 
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -25,6 +25,8 @@
 )
 
 const (
+	// idle ends a connection whose caller has gone.
+	idle = 20 * time.Second
 	// workTime is how long a revision holds a slot.
 	workTime  = 2 * time.Millisecond
 	fullWarm  = 1000
@@ -80,7 +82,7 @@
 		settings: s, oracle: o, slots: make(chan struct{}, max(s.Slots, 1)), started: time.Now(),
 		packet: packet, quic: &quic.Transport{Conn: packet},
 	}
-	u.listener, err = u.quic.Listen(config, &quic.Config{MaxIdleTimeout: exchange.Idle, MaxIncomingStreams: 1000})
+	u.listener, err = u.quic.Listen(config, &quic.Config{MaxIdleTimeout: idle, MaxIncomingStreams: 1000})
 	if err != nil {
 		return nil, errs.Wrap(err)
 	}
--- a/internal/try/changes.go
+++ b/internal/try/changes.go
@@ -26,9 +26,11 @@
 // fails is reported; the run goes on.
 func (r *run) changes(ctx context.Context) {
 	for _, s := range r.steps() {
-		r.pace(ctx, s.at)
-		if ctx.Err() != nil {
+		wait := time.Duration(s.at*float64(r.options.For)) - time.Since(r.started)
+		select {
+		case <-ctx.Done():
 			return
+		case <-time.After(max(wait, 0)):
 		}
 		r.progress("%s", s.what)
 		if err := s.do(context.WithoutCancel(ctx)); err != nil {
@@ -108,11 +110,11 @@
 
 // replace ends a drained target and starts a new one of its name on another
 // VM. It waits until the drained one has no flows, for as long as the run
-// allows and a flow may be silent. The upstream may still count a connection whose end was lost on the
+// allows. The upstream may still count a connection whose end was lost on the
 // way; its caller is gone, and the agent has ended its flow as idle.
 func (r *run) replace(ctx context.Context, name string) error {
 	t := r.world.target(name)
-	limit := time.Now().Add(r.options.For + idle)
+	limit := time.Now().Add(r.options.For)
 	for t.upstream.Conns() > 0 && t.agent.Flows() > 0 {
 		if time.Now().After(limit) {
 			return errs.New("%d flows are still open at the drained target", t.agent.Flows())
--- a/internal/try/run.go
+++ b/internal/try/run.go
@@ -2,17 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/zeebo/errs"
 
 	"github.com/wagtailtray/wagtailtray/internal/standin/caller"
-	"github.com/wagtailtray/wagtailtray/internal/standin/exchange"
 	"github.com/wagtailtray/wagtailtray/internal/version/approval"
 	"github.com/wagtailtray/wagtailtray/pkg/answers"
 )
@@ -80,8 +79,6 @@
 	balance  *balance
 	report   Report
 	sessions sync.WaitGroup
-	begun    atomic.Int64
-	session  func(context.Context, caller.Plan, *exchange.Oracle) error
 }
 
 func durationOf(d answers.Duration) time.Duration {
@@ -99,7 +96,7 @@
 	}
 	defer w.Close()
 	r := &run{
-		world: w, options: o, progress: progress, random: rand.New(rand.NewPCG(o.Seed, 2)), session: caller.Session,
+		world: w, options: o, progress: progress, random: rand.New(rand.NewPCG(o.Seed, 2)),
 		balance: newBalance(), report: Report{Deployment: o.Deployment, Seed: o.Seed, Failed: []string{}, Delays: []float64{}},
 	}
 	r.shorten()
@@ -111,9 +108,8 @@
 }
 
 // idle is the idle time of a trial. Its sessions are hundreds of times shorter
-// than the deployments' own, and so is the time after which a silent one ends; no
-// shorter than their connections' own, as an operator's answer must be.
-const idle = exchange.Idle
+// than the deployments' own, and so is the time after which a silent one ends.
+const idle = 5 * time.Second
 
 func (r *run) shorten() {
 	for i := range r.world.answers.Services {
@@ -184,9 +180,9 @@
 	loops.Go(func() { r.sample(opening) })
 	// All changes are made, also where the machine is too slow for their times.
 	r.changes(ctx)
-	r.pace(ctx, 1)
-	if begun := r.begun.Load(); begun < r.wanted(1) && ctx.Err() == nil {
-		r.report.Failed = append(r.report.Failed, fmt.Sprintf("%d sessions were begun of %d", begun, r.wanted(1)))
+	select {
+	case <-ctx.Done():
+	case <-time.After(r.options.For - time.Since(r.started)):
 	}
 	stop()
 	loops.Wait()
@@ -194,6 +190,69 @@
 	r.sessions.Wait()
 }
 
+func (r *run) keepSessions(opening, ctx context.Context) {
+	mean := meanLength(r.options.For)
+	gap := mean / time.Duration(r.options.Sessions)
+	ticker := time.NewTicker(max(gap, time.Millisecond))
+	defer ticker.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-opening.Done():
+			return
+		case <-ticker.C:
+		}
+		plan := r.plan(n, mean)
+		r.sessions.Go(func() {
+			if err := caller.Session(ctx, plan, r.world.oracle); err != nil {
+				r.endedEarly(&plan, err)
+			}
+		})
+	}
+}
+
+// endedEarly logs a session with the address that the product knows its flow by, and the
+// target that has served it.
+func (r *run) endedEarly(p *caller.Plan, err error) {
+	line := r.world.log.Warn().Str("event", "session").Str("service", p.Service)
+	var early *caller.EarlyError
+	if errors.As(err, &early) {
+		seen, _ := r.world.fabric.Seen(p.Address.Port(), early.Caller)
+		line = line.Uint64("session", early.Session).Stringer("caller", seen).Str("target", r.world.oracle.Served(early.Session))
+	}
+	line.Err(err).Msg("session ended early")
+}
+
+// meanLength is that of a session: a fifth of the run, so that each target
+// sees several generations of sessions and every change meets open ones.
+func meanLength(total time.Duration) time.Duration {
+	return max(total/5, time.Second)
+}
+
+// sessionsOfFirst is how many of ten sessions are of the first service.
+const sessionsOfFirst = 7
+
+// plan draws what the n'th session does: every third one watches a feed, and
+// those of the second service fetch a download.
+func (r *run) plan(n int, mean time.Duration) caller.Plan {
+	service := &r.world.answers.Services[0]
+	if n%10 >= sessionsOfFirst {
+		service = &r.world.answers.Services[1]
+	}
+	length := time.Duration(min(r.random.ExpFloat64(), 3) * float64(mean))
+	p := caller.Plan{
+		Service: service.Name, Address: service.Address.AddrPort, Local: r.world.address(octetCaller, byte(1+n%200)),
+		Length: length, Pause: 300 * time.Millisecond,
+	}
+	if n%3 == 0 {
+		p.Every = 100
+		p.Ticks = int(length / (100 * time.Millisecond))
+	}
+	if service != &r.world.answers.Services[0] {
+		p.Bytes = 64 << 10
+	}
+	return p
+}
+
 // approve generates the configuration and approves it, and measures how long
 // it takes to be in force everywhere.
 func (r *run) approve(ctx context.Context, what string, measure bool) error {
