owner: a flow that a drain has ended is not told as idle

Operators would read that their idle time is too short, when a drain had reached its limit: every flow that was ended was noted as idle.

Test: TestDrainedFlowIsNotIdle fails before it (outlived by 1000).

--- a/internal/connection/owner/idle_test.go
+++ b/internal/connection/owner/idle_test.go
@@ -32,3 +32,21 @@
 		t.Error("told twice")
 	}
 }
+
+// A drain has reached its limit, and a flow that it has ended goes on. The operators must
+// not be told that the service's idle time is too short.
+func TestDrainedFlowIsNotIdle(t *testing.T) {
+	g := newGroup(t, 2)
+	a := g.agents[0]
+	e := func(stage wire.Stage) *wire.Envelope {
+		return &wire.Envelope{Service: 1, Target: a.id, Incarnation: 1, Caller: g.wire(), Stage: stage, Budget: 9, Payload: []byte{0x40}}
+	}
+	a.table.Take(owner.Arrival{Now: g.now, Envelope: e(wire.Stage_STAGE_OPEN), Via: g.caller}, a.view, a.own, a)
+	if len(a.table.Expire(g.now, true)) != 1 {
+		t.Fatal("the flow is not over")
+	}
+	g.now += clock.Second
+	if d := a.table.Take(owner.Arrival{Now: g.now, Envelope: e(wire.Stage_STAGE_OWNED), Via: g.caller}, a.view, a.own, a); d.Outlived != 0 {
+		t.Errorf("outlived by %d", d.Outlived)
+	}
+}
--- a/internal/connection/owner/table.go
+++ b/internal/connection/owner/table.go
@@ -228,8 +228,10 @@
 		for _, f := range s.flows {
 			if all || t.over(now, f) {
 				t.remove(s, f)
-				s.over.Add(f.Caller, max(f.LastIn, f.LastOut))
 				ended = append(ended, f)
+				if !all {
+					s.over.Add(f.Caller, max(f.LastIn, f.LastOut))
+				}
 				continue
 			}
 			if now.Sub(max(f.LastIn, f.LastOut)) <= quiet {
