agent: who could not take a ledger is asked again at growing, drawn pauses

Hundreds of agents that stop while the platform is away would each ask it three times a second, all in step, and meet it so when it returns. Found in review.

--- a/internal/process/agent/leave.go
+++ b/internal/process/agent/leave.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/zeebo/errs"
 
 	"github.com/wagtailtray/wagtailtray/internal/connection/owner"
@@ -70,6 +71,9 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	s := &offering{waiting: recipients, fresh: len(recipients), answers: make(chan attempt, len(recipients)), err: errNoRecipient}
+	s.again = backoff.NewExponentialBackOff()
+	s.again.InitialInterval = hedge
+	s.again.MaxInterval = offerTimeout
 	defer s.calls.Wait()
 	defer cancel()
 	return s.run(ctx)
@@ -83,6 +87,8 @@
 	busy    int
 	answers chan attempt
 	calls   sync.WaitGroup
+	// again is the pause before recipients that failed are asked again.
+	again *backoff.ExponentialBackOff
 	// err is why the last recipient failed.
 	err error
 }
@@ -104,11 +110,19 @@
 			}
 		case <-next.C:
 			s.askNext(ctx)
-			next.Reset(hedge)
+			next.Reset(s.pause())
 		}
 	}
 }
 
+// pause is the time until the next one is asked, whatever becomes of those that are.
+func (s *offering) pause() time.Duration {
+	if s.fresh > 0 {
+		return hedge
+	}
+	return s.again.NextBackOff()
+}
+
 func (s *offering) failed(r attempt) {
 	s.err = r.err
 	s.busy--
