agent: what is no ledger is not waited for, and questions are spread

A successor that found something else under its name asked for 5 s whether it had become a ledger, and left it there for the next one. It is an answer: no ledger; and it is removed. Rounds of questions have growing, drawn pauses, for many agents may start at once. One place reads a ledger. Found in review.

Test: TestUnreadableLedgerIsNone fails before it (5 s).

--- a/internal/process/agent/hold.go
+++ b/internal/process/agent/hold.go
@@ -12,7 +12,7 @@
 	// mostHeld bounds the datagrams that wait while the agent is fenced. Beyond it they
 	// are dropped and counted.
 	mostHeld = 512
-	// heldFor is how long one waits: its sender has sent another one by then.
+	// heldFor is how long one waits: a heartbeat and its answer.
 	heldFor = clock.Second
 )
 
@@ -24,14 +24,9 @@
 	data   []byte
 }
 
-// holdBack keeps the datagram of an open flow until the lease is confirmed.
-//
-// After a pause of its own the agent is fenced for the time of one heartbeat. Callers have
-// long pauses between two copies then, for they take the pause for a round trip, and one
-// copy that is dropped costs them more than the pause has.
-//
-// Everything else is dropped. It may have waited in the socket for as long as the process
-// stood still, and its home have placed the flow elsewhere since.
+// holdBack keeps the datagram of an open flow until the lease is confirmed. What opens a
+// flow is dropped: it may be as old as the pause, and its home have placed the flow
+// elsewhere since.
 func (a *Agent) holdBack(w *worker, now clock.Millis, from netip.AddrPort) {
 	caller := envelope.Caller(w.envelope.Caller)
 	if !a.table.Owns(caller) {
--- a/internal/process/agent/takeover.go
+++ b/internal/process/agent/takeover.go
@@ -6,20 +6,25 @@
 	"errors"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/zeebo/errs"
 
 	"github.com/wagtailtray/wagtailtray/internal/connection/owner"
 	"github.com/wagtailtray/wagtailtray/internal/process/control"
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
 	"github.com/wagtailtray/wagtailtray/pkg/platform"
 	"github.com/wagtailtray/wagtailtray/pkg/wire"
 )
 
+// errUnreadable is returned for what is no ledger: asking again would change nothing.
+var errUnreadable = errs.New("agent: unreadable ledger")
+
 const (
 	// takeoverLimit bounds how long a starting agent asks for its predecessor's flows
 	// while somebody who may have them does not answer.
 	takeoverLimit = 5 * time.Second
-	// takeoverPause is between two rounds of questions.
-	takeoverPause = 100 * time.Millisecond
+	// firstPause is between the first two rounds of questions; it grows, and is drawn.
+	firstPause = 100 * time.Millisecond
 )
 
 // source is somebody who may have a ledger of a predecessor.
@@ -77,6 +82,8 @@
 func (a *Agent) askAll(ctx context.Context, left []source) *owner.Ledger {
 	ctx, cancel := context.WithTimeout(ctx, takeoverLimit)
 	defer cancel()
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = firstPause
 	var newest *owner.Ledger
 	for timeout := callTimeout; len(left) > 0 && ctx.Err() == nil; timeout *= 2 {
 		var l *owner.Ledger
@@ -85,10 +92,7 @@
 		if a.fromDirect(newest) || len(left) == 0 {
 			break
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(takeoverPause):
-		}
+		sleep(ctx, clock.Of(pause.NextBackOff()))
 	}
 	return newest
 }
@@ -124,7 +128,7 @@
 			continue
 		}
 		a.deps.Log.Warn().Str("event", "ledger").Str("source", r.source.name).Err(r.err).Msg("not heard on a ledger")
-		if !r.source.suspected {
+		if !r.source.suspected && !errors.Is(r.err, errUnreadable) {
 			silent = append(silent, r.source)
 		}
 	}
@@ -162,11 +166,8 @@
 	if err != nil {
 		return o, nil, err
 	}
-	var l owner.Ledger
-	if err := json.Unmarshal(o.Spec, &l); err != nil {
-		return o, nil, errs.Wrap(err)
-	}
-	return o, &l, nil
+	l, err := readLedger(o.Spec)
+	return o, l, err
 }
 
 func (a *Agent) peerSources() []source {
@@ -184,26 +185,26 @@
 	return all
 }
 
-// readLedger reads what a peer gave; nothing means that it keeps no ledger.
+// readLedger reads what was kept; nothing means that there is no ledger.
 func readLedger(data []byte) (*owner.Ledger, error) {
 	if len(data) == 0 {
 		return nil, nil
 	}
 	var l owner.Ledger
 	if err := json.Unmarshal(data, &l); err != nil {
-		return nil, errs.Wrap(err)
+		return nil, errs.Combine(errUnreadable, err)
 	}
 	return &l, nil
 }
 
-// removeLedger takes the predecessors' ledger out of the platform. It runs when the flows
-// are served, so that they do not wait for it.
+// removeLedger takes what predecessors have left out of the platform. It runs when the
+// flows are served, so that they do not wait for it.
 func (a *Agent) removeLedger(ctx context.Context) {
 	o, l, err := a.storedLedger(ctx)
 	if errors.Is(err, platform.ErrNotFound) || l != nil && l.Incarnation >= a.self.Incarnation {
 		return
 	}
-	if err == nil {
+	if err == nil || errors.Is(err, errUnreadable) {
 		err = a.deps.Store.Delete(ctx, platform.Ledgers, o)
 	}
 	if err != nil {
--- a/internal/process/agent/takeover_test.go
+++ b/internal/process/agent/takeover_test.go
@@ -21,6 +21,8 @@
 	mu     sync.Mutex
 	ledger *owner.Ledger
 	silent int
+	// unreadable stores something else.
+	unreadable bool
 }
 
 func (s *store) Get(context.Context, platform.Kind, string) (platform.Object, error) {
@@ -33,6 +35,9 @@
 	if s.ledger == nil {
 		return platform.Object{}, platform.ErrNotFound
 	}
+	if s.unreadable {
+		return platform.Object{Spec: []byte("[]")}, nil
+	}
 	data, err := json.Marshal(s.ledger)
 	return platform.Object{Spec: data}, err
 }
@@ -110,6 +115,20 @@
 	}
 }
 
+// The platform has something that is no ledger. An agent must not wait for it to become
+// one, and takes it away.
+func TestUnreadableLedgerIsNone(t *testing.T) {
+	s := &store{ledger: ledgerOf(3), unreadable: true}
+	a := taker(t, s)
+	began := time.Now()
+	if l := a.findLedger(t.Context()); l != nil || time.Since(began) > callTimeout {
+		t.Errorf("got %+v after %s", l, time.Since(began))
+	}
+	if a.removeLedger(t.Context()); s.ledger != nil {
+		t.Error("it is still there")
+	}
+}
+
 // A target starts for the first time while neither platform nor peer answers. It has no
 // predecessor and must not wait for one's flows.
 func TestFirstStartWaitsForNobody(t *testing.T) {
