owner: a search takes in the datagrams of a search that yields to it

What callers saw: a session that is not opened within 10 s although its upstream has acknowledged the opening.

Cause: an opening is two datagrams. Where the searches of two homes met, the datagram of the one that yields was dropped as a copy, and with it the half that the other home had not seen. The upstream cannot answer without it, and the caller pauses for seconds before its next copies.

Why it works: the target whose search continues would search for any copy that reaches it; it does so for this one. Which home decides is unchanged.

TestMeetingSearchesLoseNoDatagram before: "1 of 2 datagrams were delivered to the owner".

--- a/internal/connection/owner/opening_test.go
+++ b/internal/connection/owner/opening_test.go
@@ -270,3 +270,36 @@
 		t.Errorf("%d of 20 flows were placed on the idle target; five homes would place five times as many", idle)
 	}
 }
+
+// An opening is two datagrams, and a target has just joined: one reaches it, the other one the
+// former home. The two searches meet. Both datagrams must reach the flow's owner: without one of
+// them the upstream cannot answer, and the caller waits for its next copies.
+func TestMeetingSearchesLoseNoDatagram(t *testing.T) {
+	g := newGroup(t, 3)
+	joined, former := g.agents[0], g.agents[1]
+	names := []string{"a", "b", "c"}
+	g.setView(joined, names, func(c *target.Candidate) { c.Sequence = 1 }, g.now)
+	g.setView(former, names, func(c *target.Candidate) { c.Suspected = c.ID == joined.id }, g.now)
+	one, two := g.opening(joined), g.opening(former)
+	g.step(one)
+	g.step(two)
+	if one.Stage != wire.Stage_STAGE_SEARCH || two.Stage != wire.Stage_STAGE_SEARCH || one.Home == two.Home {
+		t.Fatalf("no two searches: %s of %d, %s of %d", one.Stage, one.Home, two.Stage, two.Home)
+	}
+	for two.Target != joined.id {
+		g.step(two)
+	}
+	delivered := 0
+	for _, e := range []*wire.Envelope{two, one} {
+		g.deliver(e)
+		for _, a := range g.agents {
+			if a.table.Owns(g.caller) && e.Target == a.id {
+				delivered++
+			}
+		}
+	}
+	g.checkOneOwner()
+	if delivered != 2 {
+		t.Errorf("%d of 2 datagrams were delivered to the owner", delivered)
+	}
+}
--- a/internal/connection/owner/search.go
+++ b/internal/connection/owner/search.go
@@ -77,8 +77,9 @@
 	searcher := p.e.Home
 	if p.isSearching(searchTimeout) && target.Score(p.e.Caller, p.view.Self) > target.Score(p.e.Caller, searcher) {
 		// Two homes search for one flow. The scores decide which of them
-		// continues, whatever their views, so this copy is dropped.
-		return Decision{Reason: ConcurrentSearch}
+		// continues, whatever their views. The datagram is not only a copy: an
+		// opening may consist of several.
+		return t.startSearch(p)
 	}
 	p.shard.searches.Remove(p.caller)
 	old, recorded := p.shard.records.Get(p.caller)
