owner: no flow is idle while its caller waits out a pause that we have caused

What callers saw: open sessions without an answer for 15 s after a restart, or openings that fail; `outlived` in the log of the agent.

Cause: a caller doubles its pause when copies are lost.

Tests before: TestRestoredFlowAwaitsItsCaller "ended although its caller may still be waiting", TestOpeningFlowIsNotIdle "ended while its caller may still be opening it".

--- a/internal/connection/owner/idle_test.go
+++ b/internal/connection/owner/idle_test.go
@@ -51,3 +51,44 @@
 		t.Errorf("reported as expired after %d of silence", d.ExpiredIdle)
 	}
 }
+
+// Copies of a caller were lost while its agent was restarted, and it waits twice as long
+// before the next one. Its flow must not be ended as idle before that one arrives, and a flow
+// without a caller must not stay forever.
+func TestRestoredFlowAwaitsItsCaller(t *testing.T) {
+	g := newGroup(t, 1)
+	a := g.agents[0]
+	idle := 5 * clock.Second
+	successor := owner.NewTable(owner.Limits{MaxFlows: 9, MaxPlacements: 9, IdleTimeout: idle, UnansweredTimeout: clock.Hour}, a.loads)
+	entry := owner.Entry{Caller: g.caller, Port: 4, OpeningNumber: 1, Answered: true, Idle: 4 * clock.Second}
+	if lost := successor.Import(g.now, &owner.Ledger{Flows: []owner.Entry{entry}}, a); len(lost) != 0 {
+		t.Fatalf("not restored: %v", lost)
+	}
+	g.now += 13 * clock.Second
+	if ended := successor.Expire(g.now, false); len(ended) != 0 {
+		t.Fatal("ended although its caller may still be waiting for an answer that the restart has cost it")
+	}
+	e := &wire.Envelope{Service: 1, Target: a.id, Incarnation: 1, Caller: g.callerBytes(), Stage: wire.Stage_STAGE_OWNED, Budget: 9, Payload: []byte{0x40}}
+	if d := successor.Take(owner.Arrival{Now: g.now, Envelope: e, Via: g.caller}, a.view, a.local, a); d.Action != owner.Deliver {
+		t.Errorf("the caller's next copy: %v", d.Action)
+	}
+	if len(successor.Expire(g.now+idle+clock.Minute, false)) != 1 {
+		t.Error("a flow without a caller does not end")
+	}
+}
+
+// A caller still tries to open its flow, with pauses longer than the idle timeout. The flow must
+// not be ended before the caller gives up: its next copy would open another one elsewhere.
+func TestOpeningFlowIsNotIdle(t *testing.T) {
+	g := newGroup(t, 1)
+	a := g.agents[0]
+	tries := 10 * clock.Second
+	a.table.SetLimits(owner.Limits{MaxFlows: 9, IdleTimeout: 5 * clock.Second, UnansweredTimeout: tries})
+	g.deliver(g.opening(a))
+	if ended := a.table.Expire(g.now+tries, false); len(ended) != 0 {
+		t.Error("ended while its caller may still be opening it")
+	}
+	if ended := a.table.Expire(g.now+tries+1, false); len(ended) != 1 {
+		t.Error("not ended after its caller has given up")
+	}
+}
--- a/internal/connection/owner/ledger.go
+++ b/internal/connection/owner/ledger.go
@@ -122,6 +122,10 @@
 	return lost
 }
 
+// maxCallerPause is how long a caller may be silent after a restart. Its last copies may
+// have been lost in the restart, and it doubles its pause before each further one.
+const maxCallerPause = 15 * clock.Second
+
 // restore opens one flow again. A flow that is already open is left unchanged: a
 // ledger may arrive twice, from the platform and from a peer.
 func (t *Table) restore(now clock.Millis, entry Entry, dialer Dialer) bool {
@@ -134,7 +138,7 @@
 	seen := now.Sub(entry.Idle)
 	f := &Flow{
 		Caller: entry.Caller, OpeningNumber: entry.OpeningNumber, Home: entry.Home, Answered: entry.Answered,
-		Via: entry.Via, Started: seen, LastIn: seen, LastOut: seen,
+		Via: entry.Via, Started: seen, LastIn: seen, LastOut: seen, keepUntil: now + maxCallerPause,
 		chosenID: string(entry.ChosenID), usedID: string(entry.UsedID),
 	}
 	link, err := dialer.Dial(f, entry.Port)
--- a/internal/connection/owner/table.go
+++ b/internal/connection/owner/table.go
@@ -46,6 +46,9 @@
 	LastIn   clock.Millis
 	LastOut  clock.Millis
 	Answered bool
+	// keepUntil is when the flow may end as idle at the earliest: its caller may still be
+	// opening it, or waiting for an answer that a restart has cost it.
+	keepUntil clock.Millis
 
 	// Trace is the trace context of a datagram that has not been answered
 	// yet, so that the answer's hops are added to its trace.
@@ -253,7 +256,7 @@
 func (t *Table) isExpired(now clock.Millis, f *Flow) bool {
 	limits := t.limits.Load()
 	last := max(f.LastIn, f.LastOut)
-	if now.Sub(last) > limits.IdleTimeout {
+	if now.Sub(last) > limits.IdleTimeout && now > f.keepUntil {
 		return true
 	}
 	return !f.Answered && now.Sub(f.Started) > limits.UnansweredTimeout
