target: a hint leads to the successor of the owner, and walks come to leaving targets late

What callers saw: after a restart datagrams of open flows take as many hops as the service has targets, at each balancer, until it has a new hint.

Cause: a hint of an earlier incarnation was dropped like that of a dead owner, and the walk was kept from beginning at the very target that has the flow. While the owner was stopping, its unanswered asks did the same.

Evidence: the tests. Before: "the first datagram after the restart of goes to" for each of seven targets, and "2100 ms after the last answer routed to".

Why it works: a planned restart hands the flows over, so the successor is the best guess; it is asked, and a flow that it does not have is walked. A leaving target answers late or not at all, so only its own flows wait for it.

--- a/internal/request/target/hints.go
+++ b/internal/request/target/hints.go
@@ -70,6 +70,8 @@
 	silentTarget ID
 	incarnation  uint32
 	confirmedAt  clock.Millis
+	// askedIncarnation is the process of the owner that was asked last.
+	askedIncarnation uint32
 	// firstAskAt, lastAskAt and askCount describe the asks since the last
 	// confirmation.
 	firstAskAt clock.Millis
@@ -115,7 +117,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t, ok := s.hints.Get(k)
-	if !ok {
+	if !ok || opening && t.ownerLeaving(set) {
 		return h.routeWithoutHint(now, s, k, set, caller, opening)
 	}
 	if r, ok := t.routeByHint(now, set, opening); ok {
@@ -129,18 +131,43 @@
 	return r, ok
 }
 
-// routeByHint routes to the owner, unless the owner has left or stopped answering.
+// routeByHint routes to the owner or its successor, unless the owner has left or stopped
+// answering. A successor usually has its predecessor's flows; it is asked whether it does.
 func (t *flowState) routeByHint(now clock.Millis, set *Set, opening bool) (Route, bool) {
 	c, ok := set.Find(t.owner)
-	if !ok || c.Incarnation != t.incarnation || t.ownerSilent(now) {
+	if !ok || c.Incarnation < t.incarnation {
+		return Route{}, false
+	}
+	if c.Leaving {
+		// Its silence says nothing: the flow waits for its successor.
+		t.resetAsks(c.Incarnation)
+		return Route{Target: c, Stage: wire.Stage_STAGE_OWNED, Budget: maxWalkHops, Hinted: true}, true
+	}
+	if c.Incarnation != t.askedIncarnation {
+		t.resetAsks(c.Incarnation)
+	}
+	if t.ownerSilent(now) {
 		return Route{}, false
 	}
 	stage := wire.Stage_STAGE_OWNED
 	if opening {
 		stage = wire.Stage_STAGE_OPEN
 	}
-	ask := now.Sub(t.confirmedAt) > hintRefreshAge && t.startAsk(now)
-	return Route{Target: c, Stage: stage, Ask: ask, Budget: maxWalkHops, Hinted: true}, true
+	succeeded := c.Incarnation > t.incarnation
+	ask := (succeeded || now.Sub(t.confirmedAt) > hintRefreshAge) && t.startAsk(now)
+	return Route{Target: c, Stage: stage, Ask: ask, Budget: maxWalkHops, Hinted: !succeeded}, true
+}
+
+// ownerLeaving reports whether the owner is leaving, so that it opens no flows.
+func (t *flowState) ownerLeaving(set *Set) bool {
+	c, ok := set.Find(t.owner)
+	return ok && c.Leaving
+}
+
+// resetAsks forgets the asks of an earlier process of the owner.
+func (t *flowState) resetAsks(incarnation uint32) {
+	t.askedIncarnation = incarnation
+	t.askCount = 0
 }
 
 // ownerSilent reports whether the owner left several asks unanswered: its process
@@ -239,11 +266,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if t, ok := s.hints.Get(k); ok {
-		*t = flowState{owner: owner, incarnation: incarnation, confirmedAt: now}
+		*t = flowState{owner: owner, incarnation: incarnation, askedIncarnation: incarnation, confirmedAt: now}
 		return
 	}
 	s.pending.Remove(k)
-	s.hints.Add(k, &flowState{owner: owner, incarnation: incarnation, confirmedAt: now})
+	s.hints.Add(k, &flowState{owner: owner, incarnation: incarnation, askedIncarnation: incarnation, confirmedAt: now})
 }
 
 // Len returns the number of flows with a hint.
--- a/internal/request/target/set.go
+++ b/internal/request/target/set.go
@@ -44,6 +44,10 @@
 	Tunnel netip.AddrPort
 	// Draining targets keep their flows and get no opening datagrams.
 	Draining bool
+	// Leaving targets are stopping, and a successor will have their flows. They get
+	// no opening datagrams, and they come late in a walk, because nobody serves
+	// their flows until the successor does.
+	Leaving bool
 	// Suspected targets missed heartbeats. They get no opening datagrams and
 	// come last in a walk, because they may drop what they are sent.
 	Suspected bool
@@ -53,7 +57,7 @@
 // load: the home must be the same in every view, or two copies of a datagram would
 // go to two homes.
 func (c *Candidate) AcceptsFlows() bool {
-	return !c.Draining && !c.Suspected
+	return !c.Draining && !c.Leaving && !c.Suspected
 }
 
 // Set holds the targets of one service in one view. It is immutable.
@@ -115,10 +119,11 @@
 }
 
 // Next returns the target that follows the visited ones in a walk: targets are ordered
-// by descending score, suspected targets after all others.
+// by descending score, leaving targets after the others and suspected ones last.
 //
 // A dead target drops what it is sent, so targets after it are never reached. With
 // suspected targets last, this affects only flows whose owner is a suspected target.
+// Likewise only the flows of a leaving target wait for its successor.
 func (s *Set) Next(caller []byte, visited []ID) (*Candidate, bool) {
 	var best *Candidate
 	var high uint64
@@ -136,12 +141,24 @@
 }
 
 func ranksBefore(c *Candidate, score uint64, best *Candidate, high uint64) bool {
-	if c.Suspected != best.Suspected {
-		return best.Suspected
+	if c.absence() != best.absence() {
+		return c.absence() < best.absence()
 	}
 	return score > high
 }
 
+// absence ranks targets by how likely they are not to answer.
+func (c *Candidate) absence() int {
+	switch {
+	case c.Suspected:
+		return 2
+	case c.Leaving:
+		return 1
+	default:
+		return 0
+	}
+}
+
 // Start returns the target at which a walk starts; attempt counts from zero. Every
 // target is the start of some attempt, so a dead target in the middle of the walk
 // cannot make the owner unreachable forever.
--- a/internal/request/target/target_test.go
+++ b/internal/request/target/target_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 
 	"github.com/wagtailtray/wagtailtray/internal/request/envelope"
@@ -135,3 +136,76 @@
 		})
 	}
 }
+
+// changed returns the set with one target replaced by change.
+func changed(s *target.Set, i int, change func(*target.Candidate)) *target.Set {
+	all := slices.Clone(s.Targets)
+	change(&all[i])
+	return target.NewSet(s.Service, all)
+}
+
+// An agent is restarted and has its predecessor's flows. Their datagrams must go to it and not
+// to every other target before; if it does not have a flow after all, the flow must be walked.
+func TestRestartedOwnerComesFirst(t *testing.T) {
+	h := target.NewHints(limits)
+	s := newSet(7)
+	now := clock.Hour
+	for i := range s.Targets {
+		owner := s.Targets[i].ID
+		h.Confirm(now, 1, caller, callerBytes, owner, 1)
+		restarted := changed(s, i, func(c *target.Candidate) { c.Incarnation = 2 })
+		if r, _ := h.Route(now, restarted, caller, callerBytes, false); r.Target.ID != owner || !r.Ask {
+			t.Errorf("the first datagram after the restart of %d goes to %d, asks %t", owner, r.Target.ID, r.Ask)
+		}
+		elsewhere := false
+		for range 10 {
+			now += 100
+			r, _ := h.Route(now, restarted, caller, callerBytes, false)
+			elsewhere = elsewhere || r.Target.ID != owner
+		}
+		if !elsewhere {
+			t.Errorf("a successor without the flow is asked forever")
+		}
+	}
+}
+
+// A target that is being restarted does not answer. Its flows must wait for its successor,
+// and must not be walked past all other targets, which costs the time of a hop each.
+func TestLeavingOwnerIsNotSilent(t *testing.T) {
+	h := target.NewHints(limits)
+	s := newSet(7)
+	now := clock.Hour
+	owner := s.Targets[3].ID
+	h.Confirm(now, 1, caller, callerBytes, owner, 1)
+	leaving := changed(s, 3, func(c *target.Candidate) { c.Leaving = true })
+	for range 50 {
+		now += 100
+		if r, _ := h.Route(now, leaving, caller, callerBytes, false); r.Target.ID != owner || r.Ask {
+			t.Fatalf("%d ms after the last answer routed to %d, asks %t", now-clock.Hour, r.Target.ID, r.Ask)
+		}
+	}
+	if r, _ := h.Route(now, leaving, caller, callerBytes, true); r.Target.ID == owner {
+		t.Error("an opening goes to the leaving target")
+	}
+	restarted := changed(s, 3, func(c *target.Candidate) { c.Incarnation = 2 })
+	if r, _ := h.Route(now+100, restarted, caller, callerBytes, false); r.Target.ID != owner {
+		t.Errorf("after the restart routed to %d", r.Target.ID)
+	}
+}
+
+// The owner of a flow may be any target but the leaving one. A walk must not wait for that.
+func TestLeavingTargetIsWalkedLate(t *testing.T) {
+	s := newSet(7)
+	first, _ := s.Start(callerBytes, 0)
+	i := slices.IndexFunc(s.Targets, func(c target.Candidate) bool { return c.ID == first.ID })
+	left := changed(s, i, func(c *target.Candidate) { c.Leaving = true })
+	left = changed(left, (i+1)%7, func(c *target.Candidate) { c.Suspected = true })
+	var visited []target.ID
+	for range left.Targets {
+		c, _ := left.Next(callerBytes, visited)
+		visited = append(visited, c.ID)
+	}
+	if visited[5] != first.ID || visited[6] != left.Targets[(i+1)%7].ID {
+		t.Errorf("walked %v; %d is leaving, %d is suspected", visited, first.ID, left.Targets[(i+1)%7].ID)
+	}
+}
