agent, balancer: datagrams to a target that is being restarted wait for its successor

Cause: a stopping agent announced its leave and closed its tunnel at once. Its peers learn of it with their next heartbeat; balancers and peers went on sending to it, openings, searches and handshakes alike, and all of that was lost. Every loss doubles the pause of a caller, and two restarts in a row are longer than its patience.

Change: a stopping agent tells its peers and serves until its leave has spread. Whoever sends to a leaving target keeps a bounded copy and sends it to the successor as soon as that is known; a successor sends its digest at once. A target without flows says so, and is not asked any more.

Why it works: nobody but the successor can answer, so the datagram has to reach it, and before the caller pauses again.

--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -44,6 +44,7 @@
 	"github.com/wagtailtray/wagtailtray/internal/process/trace"
 	"github.com/wagtailtray/wagtailtray/internal/request/envelope"
 	"github.com/wagtailtray/wagtailtray/internal/request/quic"
+	"github.com/wagtailtray/wagtailtray/internal/request/retain"
 	"github.com/wagtailtray/wagtailtray/internal/request/target"
 	"github.com/wagtailtray/wagtailtray/internal/version/config"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
@@ -118,9 +119,13 @@
 	queued       chan queuedDatagram
 	leaseRenewed chan struct{}
 	closing      chan struct{}
-	accepting    atomic.Bool
-	sequence     atomic.Uint64
-	buffers      sync.Pool
+	// retained has copies of datagrams passed to leaving targets, and viewChanged signals
+	// serveRetained to look for their successors.
+	retained    *retain.Buffer[[]byte]
+	viewChanged chan struct{}
+	accepting   atomic.Bool
+	sequence    atomic.Uint64
+	buffers     sync.Pool
 	// leaseMillis, digestMillis and rampMillis are configuration values that
 	// are read without a lock.
 	leaseMillis  atomic.Int64
@@ -155,14 +160,15 @@
 	// drainingSince is when the current drain began.
 	drainingSince clock.Millis
 	peerLedgers   map[string]peerLedger
+	leavingPeers  map[target.ID]leavingPeer
 	heartbeats    heartbeatState
 
 	startedAt clock.Millis
 	server    *control.Server
 	client    *control.Client
 	fatal     chan error
-	// outOfSync signals that the answer to a heartbeat differs from the
-	// agent's state.
+	// outOfSync signals that the answer to a heartbeat, or a peer's digest,
+	// differs from the agent's state.
 	outOfSync  chan struct{}
 	stopped    atomic.Bool
 	closeOnce  sync.Once
@@ -186,6 +192,7 @@
 		settings: settings, deps: deps, count: newCounters(deps.Scope),
 		flowLog: deps.Log.Sample(&zerolog.BurstSampler{Burst: maxFlowLogsPerSecond, Period: time.Second}),
 		queued:  make(chan queuedDatagram, maxQueued), leaseRenewed: make(chan struct{}, 1), closing: make(chan struct{}),
+		retained: retain.NewBuffer[[]byte](retain.DefaultLimits()), viewChanged: make(chan struct{}, 1), leavingPeers: map[target.ID]leavingPeer{},
 		client: client, refusedCallers: refused,
 		sealer:   envelope.NewSealer(deps.Ring, envelope.MaxSize(settings.MTU, settings.Tunnel.Addr())),
 		observer: owner.NewObserver(target.IDFromName(settings.Name)), peerLedgers: map[string]peerLedger{}, fatal: make(chan error, 1), outOfSync: make(chan struct{}, 1),
@@ -288,6 +295,7 @@
 		a.workers.Go(a.serveTunnel)
 	}
 	a.workers.Go(a.serveQueue)
+	a.workers.Go(a.serveRetained)
 	a.background.Go(func() { a.runHeartbeats(ctx) })
 	a.background.Go(func() { a.runDigests(ctx) })
 	a.background.Go(func() { a.runSweeps(ctx) })
--- a/internal/process/agent/handover.go
+++ b/internal/process/agent/handover.go
@@ -22,22 +22,25 @@
 	handoverTimeout = 10 * time.Second
 )
 
-// Stop stops the agent as planned. It stops accepting new flows at once. A
-// target without flows is announced as left; otherwise its flows are handed over
-// to its successor in a ledger.
+// Stop stops the agent as planned. It stops accepting new flows at once, and serves its
+// flows until its leave has spread, so that others keep what they send to it afterwards
+// for its successor. A target without flows is announced as left; otherwise its flows
+// are handed over to its successor in a ledger.
 func (a *Agent) Stop(ctx context.Context) {
 	a.mu.Lock()
 	a.self.State = member.Leaving
 	a.self.Sequence++
 	a.accepting.Store(false)
+	linger := a.timing.LingerTime
 	a.rebuildViewLocked()
 	a.mu.Unlock()
-	a.announce(ctx)
+	a.spreadLeave(ctx, linger)
 	a.closeTunnel()
 	if a.table.Len() == 0 {
 		a.mu.Lock()
 		a.self.State = member.Left
 		a.mu.Unlock()
+		a.sendLeft()
 		a.announce(ctx)
 		a.Kill()
 		return
--- a/internal/process/agent/heartbeat.go
+++ b/internal/process/agent/heartbeat.go
@@ -147,10 +147,15 @@
 	}
 	a.renewLease(sent)
 	if !same {
-		select {
-		case a.outOfSync <- struct{}{}:
-		default:
-		}
+		a.requestAnnounce()
+	}
+}
+
+// requestAnnounce requests an announcement, whose replies bring this agent up to date.
+func (a *Agent) requestAnnounce() {
+	select {
+	case a.outOfSync <- struct{}{}:
+	default:
 	}
 }
 
--- a/internal/process/agent/load.go
+++ b/internal/process/agent/load.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/wagtailtray/wagtailtray/internal/connection/owner"
@@ -145,6 +146,8 @@
 func (a *Agent) runDigests(ctx context.Context) {
 	client := &http.Client{Timeout: reportTimeout}
 	defer client.CloseIdleConnections()
+	// Peers may have datagrams for this successor.
+	a.sendDigests()
 	for sleep(ctx, a.digestInterval()) {
 		if a.settings.Load != "" {
 			a.queryLoad(ctx, client)
@@ -180,8 +183,8 @@
 	}
 }
 
-// handleDigest handles a peer's digest.
-func (a *Agent) handleDigest(now clock.Millis, e *wire.Envelope) {
+// handleDigest handles a peer's digest, which also shows a successor that serves.
+func (a *Agent) handleDigest(now clock.Millis, e *wire.Envelope, from netip.AddrPort) {
 	if !a.addressed(e) {
 		return
 	}
@@ -190,6 +193,7 @@
 		return
 	}
 	a.count.digests.Inc(1)
+	a.noticeSuccessor(now, e.Digest, from)
 }
 
 // runSweeps ends expired flows and notifies their homes until the context ends.
--- a/internal/process/agent/tunnel.go
+++ b/internal/process/agent/tunnel.go
@@ -78,12 +78,16 @@
 	case wire.Kind_KIND_FORWARD:
 		a.handleForward(w, now, from)
 	case wire.Kind_KIND_DIGEST:
-		a.handleDigest(now, e)
+		a.handleDigest(now, e, from)
 	case wire.Kind_KIND_ENDED, wire.Kind_KIND_FOUND:
 		a.handleFlowUpdate(now, e)
 	case wire.Kind_KIND_ACK:
 		a.handleAck(now, e)
 	case wire.Kind_KIND_LEAVE:
+		if e.Target != 0 {
+			a.handlePeerLeave(e)
+			return
+		}
 		a.handleBalancerLeave(from)
 	default:
 		a.count.malformed.Inc(1)
@@ -227,6 +231,9 @@
 	}
 	a.count.passed.Inc(1)
 	a.send(w, &w.envelope, d.To.Tunnel)
+	if d.To.Leaving {
+		a.retain(w, d)
+	}
 }
 
 func (a *Agent) refuse(w *worker, via netip.AddrPort) {
--- a/internal/process/agent/view.go
+++ b/internal/process/agent/view.go
@@ -145,7 +145,9 @@
 	now := a.deps.Clock.Now()
 	candidates := []target.Candidate{a.candidate(&a.self)}
 	for i := range a.peers {
-		candidates = append(candidates, a.candidate(&a.peers[i]))
+		if !a.left(&a.peers[i]) {
+			candidates = append(candidates, a.candidate(&a.peers[i]))
+		}
 	}
 	set := target.NewSet(a.service.Number, candidates)
 	v := a.observer.View(now, set, a.self.Incarnation, a.service.ResendWindow)
@@ -153,12 +155,14 @@
 		a.loads.Retain(set)
 	}
 	a.view.Store(v)
+	a.wakeRetained()
 }
 
 func (a *Agent) candidate(m *member.Member) target.Candidate {
 	return target.Candidate{
 		ID: target.IDFromName(m.Name), Name: m.Name, Incarnation: m.Incarnation, Sequence: m.Sequence, Tunnel: m.Tunnel(),
-		Draining: m.State != member.Alive, Suspected: m.Suspected,
+		Draining: m.State != member.Alive, Leaving: a.leaving(m),
+		Suspected: m.Suspected,
 	}
 }
 
--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -41,6 +41,7 @@
 	"github.com/wagtailtray/wagtailtray/internal/process/tasks"
 	"github.com/wagtailtray/wagtailtray/internal/process/trace"
 	"github.com/wagtailtray/wagtailtray/internal/request/envelope"
+	"github.com/wagtailtray/wagtailtray/internal/request/retain"
 	"github.com/wagtailtray/wagtailtray/internal/request/target"
 	"github.com/wagtailtray/wagtailtray/internal/version/config"
 	"github.com/wagtailtray/wagtailtray/internal/version/spread"
@@ -110,6 +111,10 @@
 	snapshot atomic.Pointer[snapshot]
 	tunnels  []*tunnel
 	paths    target.Paths
+	// retained has copies of datagrams sent to leaving targets, and snapshotChanged signals
+	// serveRetained to look for their successors.
+	retained        *retain.Buffer[[]byte]
+	snapshotChanged chan struct{}
 	// publishedEdges is the copy of edges that the packet path reads.
 	publishedEdges atomic.Pointer[map[uint32]*edge]
 
@@ -147,8 +152,9 @@
 	}
 	b := &Balancer{
 		settings: settings, deps: deps, count: newCounters(deps.Scope),
-		hints:   target.NewHints(settings.Limits),
-		sealer:  envelope.NewSealer(deps.Ring, envelope.MaxSize(settings.MTU, settings.Tunnel)-envelope.WalkReserve),
+		hints:    target.NewHints(settings.Limits),
+		sealer:   envelope.NewSealer(deps.Ring, envelope.MaxSize(settings.MTU, settings.Tunnel)-envelope.WalkReserve),
+		retained: retain.NewBuffer[[]byte](retain.DefaultLimits()), snapshotChanged: make(chan struct{}, 1),
 		replica: spread.NewReplica(), table: member.NewTable(),
 		tracked: map[member.Key]*trackedTarget{}, targetKeys: map[heartbeatKey]member.Key{}, serviceChanges: map[string]uint64{}, edges: map[uint32]*edge{},
 		client: client, updates: make(chan update, maxQueuedUpdates), heartbeats: make(chan queuedHeartbeat, maxQueuedHeartbeats),
@@ -175,6 +181,7 @@
 	}
 	b.join(ctx)
 	b.run(ctx, b.servePushes)
+	b.run(ctx, b.serveRetained)
 	b.run(ctx, b.serveHeartbeats)
 	b.run(ctx, b.runTicker)
 	b.serveTunnels()
--- a/internal/process/balancer/edge.go
+++ b/internal/process/balancer/edge.go
@@ -149,7 +149,9 @@
 		})
 	}
 	b.updatePath(&route)
-	b.send(w, &route)
+	if b.send(w, &route) && route.Target.Leaving {
+		b.retain(w, &route, from)
+	}
 }
 
 // updatePath records a question to a target, and changes the port of a path on
@@ -181,19 +183,21 @@
 	e.Payload = datagram
 }
 
-func (b *Balancer) send(w *workerBuffers, r *target.Route) {
+// send seals and sends the envelope, and reports whether it could be sealed.
+func (b *Balancer) send(w *workerBuffers, r *target.Route) bool {
 	out, err := b.sealer.Seal(w.out[:0], &w.envelope)
 	if err != nil {
 		b.count.large.Inc(1)
-		return
+		return false
 	}
 	w.out = out
 	if err := b.tunnelTo(r.Target.ID).write(out, r.Target.Tunnel); err != nil {
 		b.count.unsent.Inc(1)
-		return
+		return true
 	}
 	b.count.forwarded.Inc(1)
 	if r.Hinted {
 		b.count.hinted.Inc(1)
 	}
+	return true
 }
--- a/internal/process/balancer/view.go
+++ b/internal/process/balancer/view.go
@@ -28,6 +28,7 @@
 		s.sets[e.Number] = b.buildTargetSet(state, e)
 	}
 	b.snapshot.Store(s)
+	b.wakeRetained()
 }
 
 // updateSnapshot rebuilds the parts of the snapshot that the records belong to.
@@ -51,6 +52,7 @@
 		}
 	}
 	b.snapshot.Store(next)
+	b.wakeRetained()
 }
 
 // buildTargetSet returns a service's targets for the packet path, and indexes the
@@ -80,6 +82,7 @@
 	return target.Candidate{
 		ID: target.IDFromName(m.Name), Name: m.Name, Incarnation: m.Incarnation, Sequence: m.Sequence, Tunnel: m.Tunnel(),
 		Draining:  m.State != member.Alive || state.Draining(m.Service, m.Name),
+		Leaving:   m.State == member.Leaving,
 		Suspected: m.Suspected,
 	}, true
 }
--- a/internal/standin/model/balancer.go
+++ b/internal/standin/model/balancer.go
@@ -15,6 +15,8 @@
 	roster  roster
 	set     *target.Set
 	hints   *target.Hints
+	// retained has copies for leaving targets.
+	retained retainer
 	// paths selects the local port used towards each target.
 	paths target.Paths
 	// UpdatesBlocked balancers receive no more updates about targets.
@@ -27,8 +29,9 @@
 	n := len(w.Balancers) + 1
 	b := &Balancer{
 		world: w, roster: roster{},
-		address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(n >> 8), byte(n)}), 1),
-		hints:   target.NewHints(target.Limits{MaxHints: 1 << 16, MaxPending: 1 << 14, WalksPerSecond: 1 << 20}),
+		address:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(n >> 8), byte(n)}), 1),
+		hints:    target.NewHints(target.Limits{MaxHints: 1 << 16, MaxPending: 1 << 14, WalksPerSecond: 1 << 20}),
+		retained: newRetainer(),
 	}
 	w.Balancers = append(w.Balancers, b)
 	for _, c := range w.published {
@@ -41,6 +44,7 @@
 func (b *Balancer) applyUpdate(k knownTarget) {
 	b.roster.apply(k)
 	b.set = b.roster.set(service)
+	b.world.release(b.retained, b.set)
 }
 
 // DropHints makes the balancer lose its hints, as when its hint table is full.
@@ -79,7 +83,7 @@
 	}
 	w.Datagrams++
 	from := b.socketFor(route.Target.ID)
-	w.sendEnvelope(from, route.Target.Tunnel, e, from, d)
+	w.sendOrRetain(b.retained, route.Target, caller, hop{from: from, envelope: e, via: from, datagram: d})
 }
 
 // handleHint records an owner's hint.
--- a/internal/standin/model/target.go
+++ b/internal/standin/model/target.go
@@ -5,6 +5,7 @@
 	"net/netip"
 
 	"github.com/wagtailtray/wagtailtray/internal/connection/owner"
+	"github.com/wagtailtray/wagtailtray/internal/request/envelope"
 	"github.com/wagtailtray/wagtailtray/internal/request/target"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
 	"github.com/wagtailtray/wagtailtray/pkg/wire"
@@ -24,6 +25,7 @@
 	loads          *owner.PeerLoads
 	estimator      *owner.FlowEstimator
 	observer       *owner.Observer
+	retained       retainer
 	roster         roster
 	view           *owner.View
 	digestSequence uint64
@@ -90,6 +92,7 @@
 		MaxFlows: w.Options.MaxFlows, MaxPlacements: 1 << 15, IdleTimeout: w.Options.IdleTimeout, UnansweredTimeout: handshakeTimeout,
 	}, t.loads)
 	t.observer = owner.NewObserver(t.ID)
+	t.retained = newRetainer()
 	t.estimator = owner.NewFlowEstimator(w.Options.IdleTimeout)
 	return t
 }
@@ -101,7 +104,7 @@
 func (t *Target) candidate() target.Candidate {
 	return target.Candidate{
 		ID: t.ID, Name: t.Name, Incarnation: t.Incarnation, Sequence: t.stateSequence, Tunnel: t.tunnel,
-		Draining: t.draining || t.joining || t.stopped, Suspected: t.suspected,
+		Draining: t.draining || t.joining || t.stopped, Leaving: t.stopped, Suspected: t.suspected,
 	}
 }
 
@@ -126,6 +129,7 @@
 	if t.world.Options.Disabled == Search {
 		t.view.ResendWindow = -1
 	}
+	t.world.release(t.retained, t.view.Set)
 }
 
 // localState is what the agent knows about its target.
@@ -164,7 +168,7 @@
 	}
 	switch decision.Action {
 	case owner.Pass:
-		w.sendEnvelope(t.tunnel, decision.To.Tunnel, e, via, d)
+		w.sendOrRetain(t.retained, decision.To, envelope.ParseCaller(e.Caller), hop{from: t.tunnel, envelope: e, via: via, datagram: d})
 	case owner.Refuse:
 		w.Oracle.recordRefusalSent(d)
 		w.reply(t.tunnel, via, d.replyTo, d, true)
