owner: two homes never leave the decision about a flow to each other

What callers saw: a session that is not opened within 10 s though all targets are there; every copy of its opening is lost.

Cause: a home whose search was older than 0.5 s yielded to that of any other home. Where hops are slow or an agent is away, two homes yield to each other, and each sends the openings to the other until their hops are used up, 128 for each copy, for the 10 s that a search record holds.

Why it works: the order of scores is the same everywhere, so of two searches one continues; since a search takes in the datagrams of the one that yields, the limit has no use any more. Who searches holds no record of another search, and what comes back from the home in a record is searched for.

Tests before: "a datagram took 99 hops", "0 targets have adopted the flow, want 1" in both.

--- a/internal/connection/owner/opening.go
+++ b/internal/connection/owner/opening.go
@@ -74,14 +74,16 @@
 //
 // A search record names the home that decides, not the target that it chose: if
 // the copy were sent there as placed, the home would adopt it in addition to the
-// target that has adopted the first one. The copy goes to that home even if it has
-// passed it before, because the home may have started its search after that. This
-// target stays among the visited ones, so the copy does not come back here.
+// target that has adopted the first one. An opening that the home itself has passed
+// on is not sent back: the home leaves the decision to others, so this target searches.
 func (p *packet) forwardToSearcher(r record) (Decision, bool) {
 	c, ok := p.view.Set.Find(r.to)
 	if !ok || c.Suspected || r.to == p.view.Self {
 		return Decision{}, false
 	}
+	if p.e.Stage == wire.Stage_STAGE_OPEN && slices.Contains(p.e.Visited, r.to) {
+		return Decision{}, false
+	}
 	p.e.Visited = append(p.e.Visited[:0], p.view.Self)
 	p.e.Stage = wire.Stage_STAGE_OPEN
 	return p.pass(c), true
--- a/internal/connection/owner/opening_test.go
+++ b/internal/connection/owner/opening_test.go
@@ -303,3 +303,54 @@
 		t.Errorf("%d of 2 datagrams were delivered to the owner", delivered)
 	}
 }
+
+// Two homes search for one flow, and both searches are held up on their way. Neither home may
+// leave the decision to the other: an opening would go back and forth between them.
+func TestSlowSearchesDoNotYieldToEachOther(t *testing.T) {
+	g := newGroup(t, 3)
+	first, second, third := g.agents[0], g.agents[1], g.agents[2]
+	names := []string{"a", "b", "c"}
+	g.setView(first, names, func(c *target.Candidate) { c.Sequence = 1 }, g.now)
+	g.setView(second, names, func(c *target.Candidate) { c.Suspected = c.ID == first.id }, g.now)
+	one, two := g.opening(first), g.opening(second)
+	g.step(one)
+	g.step(two)
+	if one.Home != first.id || two.Home != second.id {
+		t.Fatalf("searches of %d and %d", one.Home, two.Home)
+	}
+	g.now += clock.Second
+	g.setView(second, names, nil, g.now)
+	two.Target = first.id
+	g.step(two)
+	g.now += clock.Second
+	one.Target, one.Visited = second.id, []target.ID{first.id, third.id}
+	g.step(one)
+	for _, e := range []*wire.Envelope{g.opening(first), g.opening(second), one, two} {
+		g.deliver(e)
+		if e.Budget < 50 {
+			t.Errorf("a datagram took %d hops", 100-e.Budget)
+		}
+	}
+	g.checkOneOwner()
+}
+
+// Two targets have records of each other's search, which were delivered late. An opening that
+// comes back must be searched for, and not go back and forth.
+func TestMutualSearchRecordsAreResolved(t *testing.T) {
+	g := newGroup(t, 3)
+	first, second := g.agents[0], g.agents[1]
+	search := func(to, from *agent) {
+		e := g.opening(to)
+		e.Stage, e.Home, e.Visited = wire.Stage_STAGE_SEARCH, from.id, []target.ID{from.id}
+		g.step(e)
+	}
+	search(first, second)
+	search(second, first)
+	e := g.opening(first)
+	g.deliver(e)
+	if e.Budget < 50 {
+		t.Errorf("the opening took %d hops", 100-e.Budget)
+	}
+	g.deliver(g.opening(second))
+	g.checkOneOwner()
+}
--- a/internal/connection/owner/search.go
+++ b/internal/connection/owner/search.go
@@ -13,20 +13,17 @@
 	lastCopy clock.Millis
 }
 
-const (
-	// suspectedTimeout is how long a suspected target has to answer a search
-	// before later searches skip it. It is several round trips, and shorter
-	// than a caller's resend interval.
-	suspectedTimeout = 500 * clock.Millis(1)
-	// searchTimeout is how long a search may take. An older search yields to
-	// that of another home: its datagram is lost, and keeping it would drop
-	// the other home's copies needlessly.
-	searchTimeout = 500 * clock.Millis(1)
-)
+// suspectedTimeout is how long a suspected target has to answer a search before later
+// searches skip it. It is several round trips, and shorter than a caller's resend
+// interval.
+const suspectedTimeout = 500 * clock.Millis(1)
 
 // startSearch starts a search for an earlier owner. The search expires with the
 // resend window, so one whose answer is lost does not delay the flow for long.
 //
+// This home decides from now on, so it does not keep the record of another home's search:
+// two homes that each leave the decision to the other would pass the flow back and forth.
+//
 // The search asks suspected targets last, and is lost at a dead one. By the time
 // the caller resends, a live target would have answered the first copy; the second
 // search skips the suspected targets, so a new flow whose home has died waits for
@@ -38,6 +35,9 @@
 	}
 	s.lastCopy = p.now
 	p.shard.searches.Add(p.caller, s)
+	if r, ok := p.shard.records.Peek(p.caller); ok && r.searching {
+		p.shard.records.Remove(p.caller)
+	}
 	p.e.Home = p.view.Self
 	p.e.Visited = append(p.e.Visited[:0], p.view.Self)
 	next, ok := p.firstSearched(p.now.Sub(s.started) <= suspectedTimeout)
@@ -75,10 +75,10 @@
 // but may have placed it, or may be searching for its owner too.
 func (t *Table) handleSearch(p *packet) Decision {
 	searcher := p.e.Home
-	if p.isSearching(searchTimeout) && target.Score(p.e.Caller, p.view.Self) > target.Score(p.e.Caller, searcher) {
-		// Two homes search for one flow. The scores decide which of them
-		// continues, whatever their views. The datagram is not only a copy: an
-		// opening may consist of several.
+	if p.isSearching(p.view.ResendWindow) && target.Score(p.e.Caller, p.view.Self) > target.Score(p.e.Caller, searcher) {
+		// Two homes search for one flow. The scores alone decide which of them
+		// continues, whatever their views and however slow they are. The
+		// datagram is not only a copy: an opening may consist of several.
 		return t.startSearch(p)
 	}
 	p.shard.searches.Remove(p.caller)
