owner, retain: a copy that has waited for a successor decides nothing of long ago

What callers would have seen: a flow opened at two targets, or one that was refused and is opened all the same.

Change: a copy carries its age. Placements are not kept, ends of searches are openings again, searches begin again. A refusal holds for copies that are older than it, a successor learns of it from the ledger, and a late copy is not taken for one that its caller has sent again.

--- a/internal/connection/owner/ledger.go
+++ b/internal/connection/owner/ledger.go
@@ -39,6 +39,8 @@
 	// Records are the agent's recent records of flows that other targets own
 	// or search for: their callers may resend the opening datagram.
 	Records []RecordEntry `json:"notes"`
+	// Refusals are the flows that the agent has refused recently.
+	Refusals []RecordEntry `json:"refusals,omitempty"`
 }
 
 // RecordEntry is one record in a ledger.
@@ -55,18 +57,20 @@
 func (t *Table) NewLedger(now clock.Millis, name string, v *View) *Ledger {
 	return &Ledger{
 		Target: name, Incarnation: v.Incarnation, LastOpeningNumber: t.lastOpeningNumber.Load(),
-		Flows: t.exportFlows(now), Records: t.exportRecords(now, v.ResendWindow),
+		Flows: t.exportFlows(now), Records: t.exportRecords(now, v.ResendWindow, false),
+		Refusals: t.exportRecords(now, v.ResendWindow, true),
 	}
 }
 
-func (t *Table) exportRecords(now, window clock.Millis) []RecordEntry {
+// exportRecords returns the refusals, or the other records.
+func (t *Table) exportRecords(now, window clock.Millis, refused bool) []RecordEntry {
 	var all []RecordEntry
 	for i := range t.shards {
 		s := &t.shards[i]
 		s.mu.Lock()
 		for _, caller := range s.records.Keys() {
 			r, _ := s.records.Peek(caller)
-			if age := now.Sub(r.recordedAt); age <= window && !r.refused {
+			if age := now.Sub(r.recordedAt); age <= window && r.refused == refused {
 				all = append(all, RecordEntry{Caller: caller, To: r.to, Searching: r.searching, Age: age})
 			}
 		}
@@ -75,12 +79,12 @@
 	return all
 }
 
-func (t *Table) importRecords(now clock.Millis, records []RecordEntry) {
+func (t *Table) importRecords(now clock.Millis, records []RecordEntry, refused bool) {
 	for _, r := range records {
 		s := t.shard(r.Caller)
 		s.mu.Lock()
 		if _, owned := s.flows[r.Caller]; !owned {
-			s.records.Add(r.Caller, record{to: r.To, recordedAt: now.Sub(r.Age), searching: r.Searching})
+			s.records.Add(r.Caller, record{to: r.To, recordedAt: now.Sub(r.Age), searching: r.Searching, refused: refused})
 		}
 		s.mu.Unlock()
 	}
@@ -118,7 +122,8 @@
 			lost = append(lost, entry.Caller)
 		}
 	}
-	t.importRecords(now, l.Records)
+	t.importRecords(now, l.Records, false)
+	t.importRecords(now, l.Refusals, true)
 	return lost
 }
 
--- a/internal/connection/owner/opening.go
+++ b/internal/connection/owner/opening.go
@@ -28,7 +28,7 @@
 		p.markVisited()
 		return p.pass(home)
 	}
-	if p.view.HomeMayHaveChanged(p.now, p.e.Caller) {
+	if p.view.HomeMayHaveChanged(p.now.Sub(p.age()), p.e.Caller) {
 		return t.startSearch(p)
 	}
 	return t.place(p)
@@ -46,7 +46,7 @@
 		return Decision{}, false
 	}
 	if r.refused {
-		return Decision{Action: Refuse, Reason: NoTarget}, p.now.Sub(r.recordedAt) <= maxCopySkew
+		return Decision{Action: Refuse, Reason: NoTarget}, p.refusedSince(r)
 	}
 	if p.searcherUnavailable(r) {
 		return Decision{Reason: ConcurrentSearch}, true
@@ -55,9 +55,10 @@
 		return p.forwardToSearcher(r)
 	}
 	c, ok := p.view.Set.Find(r.to)
-	if !ok || c.Suspected || p.declinedBy(r.to) {
+	if !ok || c.Suspected || c.Leaving || p.declinedBy(r.to) {
 		// Every copy would be lost at a dead target. The home searches
-		// instead and, if no target answers, chooses again.
+		// instead and, if no target answers, chooses again. The search asks
+		// the successor of a leaving target.
 		return Decision{}, false
 	}
 	if p.e.Stage != wire.Stage_STAGE_DECLINED {
--- a/internal/connection/owner/search.go
+++ b/internal/connection/owner/search.go
@@ -27,7 +27,8 @@
 // The search asks suspected targets last, and is lost at a dead one. By the time
 // the caller resends, a live target would have answered the first copy; the second
 // search skips the suspected targets, so a new flow whose home has died waits for
-// at most one resend interval of its caller.
+// at most one resend interval of its caller. A copy that has waited for a successor
+// was not resent.
 func (t *Table) startSearch(p *packet) Decision {
 	s, ok := p.shard.searches.Get(p.caller)
 	if !ok || p.now.Sub(s.lastCopy) > p.view.ResendWindow {
@@ -40,7 +41,7 @@
 	}
 	p.e.Home = p.view.Self
 	p.e.Visited = append(p.e.Visited[:0], p.view.Self)
-	next, ok := p.firstSearched(p.now.Sub(s.started) <= suspectedTimeout)
+	next, ok := p.firstSearched(p.age() > 0 || p.now.Sub(s.started) <= suspectedTimeout)
 	if !ok {
 		p.shard.searches.Remove(p.caller)
 		p.e.Visited = p.e.Visited[:0]
@@ -81,8 +82,11 @@
 		// datagram is not only a copy: an opening may consist of several.
 		return t.startSearch(p)
 	}
-	p.shard.searches.Remove(p.caller)
 	old, recorded := p.shard.records.Get(p.caller)
+	if p.age() > 0 && p.refusedSince(old) {
+		return Decision{Reason: StaleSearch}
+	}
+	p.shard.searches.Remove(p.caller)
 	p.recordSearch(old, recorded)
 	p.markVisited()
 	if recorded {
--- a/internal/process/agent/retain.go
+++ b/internal/process/agent/retain.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"bytes"
 	"net/netip"
 
 	"github.com/wagtailtray/wagtailtray/internal/connection/owner"
@@ -11,10 +10,14 @@
 	"github.com/wagtailtray/wagtailtray/pkg/wire"
 )
 
-// retain keeps a copy of the sealed datagram that was passed to a leaving target.
+// retain keeps a copy of the envelope that was passed to a leaving target.
 func (a *Agent) retain(w *worker, d owner.Decision) {
+	if !owner.PrepareRetained(&w.envelope) {
+		return
+	}
 	caller := envelope.ParseCaller(w.envelope.Caller)
-	if !a.retained.Add(a.deps.Clock.Now(), w.envelope.Service, d.To, caller, bytes.Clone(w.out)) {
+	data, err := w.envelope.MarshalVT()
+	if err != nil || !a.retained.Add(a.deps.Clock.Now(), w.envelope.Service, d.To, caller, data) {
 		a.count.unretained.Inc(1)
 	}
 }
@@ -59,14 +62,18 @@
 }
 
 func (a *Agent) release(r *retain.Released[[]byte]) {
-	for _, sealed := range r.Data {
-		if _, err := a.tunnel.WriteToUDPAddrPort(sealed, r.To.Tunnel); err != nil {
+	for _, c := range r.Copies {
+		sealed, err := a.sealer.SealAged(nil, c.Data, c.Age)
+		if err == nil {
+			_, err = a.tunnel.WriteToUDPAddrPort(sealed, r.To.Tunnel)
+		}
+		if err != nil {
 			a.count.unsent.Inc(1)
 		}
 	}
-	a.count.released.Inc(int64(len(r.Data)))
+	a.count.released.Inc(int64(len(r.Copies)))
 	a.count.unretained.Inc(int64(r.Expired))
 	a.deps.Log.Info().Str("event", "released").Str("name", r.To.Name).Uint32("incarnation", r.To.Incarnation).
-		Int("count", len(r.Data)).Int("expired", r.Expired).Int64("age", int64(r.Oldest)).
+		Int("count", len(r.Copies)).Int("expired", r.Expired).Int64("age", int64(r.Oldest())).
 		Msg("sent the datagrams that waited for a restarted target")
 }
--- a/internal/process/agent/tunnel.go
+++ b/internal/process/agent/tunnel.go
@@ -142,6 +142,10 @@
 
 // handleFlowUpdate handles a message of a flow's owner to the flow's home.
 func (a *Agent) handleFlowUpdate(now clock.Millis, e *wire.Envelope) {
+	if e.Kind == wire.Kind_KIND_FOUND {
+		// The owner is the same for the successor of the home that has searched.
+		e.Incarnation = max(e.Incarnation, a.view.Load().Incarnation)
+	}
 	if !a.addressed(e) {
 		return
 	}
--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -108,9 +108,11 @@
 	count    counters
 	hints    *target.Hints
 	sealer   *envelope.Sealer
-	snapshot atomic.Pointer[snapshot]
-	tunnels  []*tunnel
-	paths    target.Paths
+	// agedSealer leaves no room for the age of a datagram, which its datagrams have.
+	agedSealer *envelope.Sealer
+	snapshot   atomic.Pointer[snapshot]
+	tunnels    []*tunnel
+	paths      target.Paths
 	// retained has copies of datagrams sent to leaving targets, and snapshotChanged signals
 	// serveRetained to look for their successors.
 	retained        *retain.Buffer[[]byte]
@@ -152,9 +154,10 @@
 	}
 	b := &Balancer{
 		settings: settings, deps: deps, count: newCounters(deps.Scope),
-		hints:    target.NewHints(settings.Limits),
-		sealer:   envelope.NewSealer(deps.Ring, envelope.MaxSize(settings.MTU, settings.Tunnel)-envelope.WalkReserve),
-		retained: retain.NewBuffer[[]byte](retain.DefaultLimits()), snapshotChanged: make(chan struct{}, 1),
+		hints:      target.NewHints(settings.Limits),
+		sealer:     envelope.NewSealer(deps.Ring, envelope.MaxSize(settings.MTU, settings.Tunnel)-envelope.WalkReserve),
+		agedSealer: envelope.NewSealer(deps.Ring, envelope.MaxSize(settings.MTU, settings.Tunnel)-envelope.WalkReserve+envelope.AgeSize),
+		retained:   retain.NewBuffer[[]byte](retain.DefaultLimits()), snapshotChanged: make(chan struct{}, 1),
 		replica: spread.NewReplica(), table: member.NewTable(),
 		tracked: map[member.Key]*trackedTarget{}, targetKeys: map[heartbeatKey]member.Key{}, serviceChanges: map[string]uint64{}, edges: map[uint32]*edge{},
 		client: client, updates: make(chan update, maxQueuedUpdates), heartbeats: make(chan queuedHeartbeat, maxQueuedHeartbeats),
--- a/internal/process/balancer/retain.go
+++ b/internal/process/balancer/retain.go
@@ -1,7 +1,6 @@
 package balancer
 
 import (
-	"bytes"
 	"context"
 	"net/netip"
 
@@ -9,9 +8,10 @@
 	"github.com/wagtailtray/wagtailtray/internal/request/target"
 )
 
-// retain keeps a copy of the sealed datagram that was sent to a leaving target.
+// retain keeps a copy of the envelope that was sent to a leaving target.
 func (b *Balancer) retain(w *workerBuffers, r *target.Route, caller netip.AddrPort) {
-	if !b.retained.Add(b.deps.Clock.Now(), w.envelope.Service, r.Target, caller, bytes.Clone(w.out)) {
+	data, err := w.envelope.MarshalVT()
+	if err != nil || !b.retained.Add(b.deps.Clock.Now(), w.envelope.Service, r.Target, caller, data) {
 		b.count.unretained.Inc(1)
 	}
 }
@@ -47,14 +47,18 @@
 }
 
 func (b *Balancer) release(r *retain.Released[[]byte]) {
-	for _, sealed := range r.Data {
-		if err := b.tunnelTo(r.To.ID).write(sealed, r.To.Tunnel); err != nil {
+	for _, c := range r.Copies {
+		sealed, err := b.agedSealer.SealAged(nil, c.Data, c.Age)
+		if err == nil {
+			err = b.tunnelTo(r.To.ID).write(sealed, r.To.Tunnel)
+		}
+		if err != nil {
 			b.count.unsent.Inc(1)
 		}
 	}
-	b.count.released.Inc(int64(len(r.Data)))
+	b.count.released.Inc(int64(len(r.Copies)))
 	b.count.unretained.Inc(int64(r.Expired))
 	b.deps.Log.Info().Str("event", "released").Str("name", r.To.Name).Uint32("incarnation", r.To.Incarnation).
-		Int("count", len(r.Data)).Int("expired", r.Expired).Int64("age", int64(r.Oldest)).
+		Int("count", len(r.Copies)).Int("expired", r.Expired).Int64("age", int64(r.Oldest())).
 		Msg("sent the datagrams that waited for a restarted target")
 }
--- a/internal/request/envelope/envelope.go
+++ b/internal/request/envelope/envelope.go
@@ -26,6 +26,7 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
 	"github.com/wagtailtray/wagtailtray/pkg/key"
 	"github.com/wagtailtray/wagtailtray/pkg/wire"
 )
@@ -105,6 +106,17 @@
 	return dst, nil
 }
 
+// SealAged seals an envelope that was marshalled and kept for a time, which is added to its
+// age.
+func (s *Sealer) SealAged(dst, marshalled []byte, kept clock.Millis) ([]byte, error) {
+	var e wire.Envelope
+	if err := e.UnmarshalVTUnsafe(marshalled); err != nil {
+		return dst, errs.Wrap(err)
+	}
+	e.Age += uint32(kept)
+	return s.Seal(dst, &e)
+}
+
 func (s *Sealer) putNonce(nonce []byte) {
 	var count [8]byte
 	binary.BigEndian.PutUint64(count[:], s.counter.Add(1))
--- a/internal/request/retain/buffer.go
+++ b/internal/request/retain/buffer.go
@@ -7,13 +7,14 @@
 // as soon as they know it.
 //
 // A target may receive a datagram twice, or late. Networks do both, and the
-// callers' protocol allows for it.
+// callers' protocol allows for it. A copy carries its age, so that nothing is decided
+// about it as if it had just been sent.
 //
 // # Usage
 //
 //	b := retain.NewBuffer[[]byte](limits)
 //	if route.Target.Leaving {
-//		b.Add(now, set.Service, route.Target, caller, sealed)
+//		b.Add(now, set.Service, route.Target, caller, datagram)
 //	}
 //	for _, r := range b.ReleaseSet(now, set) { ... } // after each change of the set
 package retain
@@ -73,17 +74,29 @@
 	sequence uint64
 }
 
+// Copy is one copy and how long it was kept.
+type Copy[T any] struct {
+	Data T
+	Age  clock.Millis
+}
+
 // Released are the copies for one target whose successor is known.
 type Released[T any] struct {
 	To *target.Candidate
-	// Data holds the copies in the order in which they were added.
-	Data []T
-	// Oldest is the age of the oldest of them.
-	Oldest clock.Millis
+	// Copies are in the order in which they were added.
+	Copies []Copy[T]
 	// Expired is the number of copies that were kept for too long.
 	Expired int
 }
 
+// Oldest returns the age of the oldest copy.
+func (r *Released[T]) Oldest() clock.Millis {
+	if len(r.Copies) == 0 {
+		return 0
+	}
+	return r.Copies[0].Age
+}
+
 // NewBuffer returns an empty buffer.
 func NewBuffer[T any](limits Limits) *Buffer[T] {
 	return &Buffer[T]{limits: limits, targets: map[targetKey]*targetCopies[T]{}}
@@ -164,7 +177,6 @@
 		for _, c := range flow {
 			if age := now.Sub(c.addedAt); age <= b.limits.MaxAge {
 				all = append(all, c)
-				r.Oldest = max(r.Oldest, age)
 				continue
 			}
 			r.Expired++
@@ -172,7 +184,7 @@
 	}
 	slices.SortFunc(all, func(x, y copied[T]) int { return int(x.sequence) - int(y.sequence) })
 	for _, c := range all {
-		r.Data = append(r.Data, c.data)
+		r.Copies = append(r.Copies, Copy[T]{Data: c.data, Age: now.Sub(c.addedAt)})
 	}
 	return r, true
 }
--- a/internal/request/retain/buffer_test.go
+++ b/internal/request/retain/buffer_test.go
@@ -21,6 +21,14 @@
 	return &target.Candidate{ID: 3, Name: "t3", Incarnation: incarnation, Leaving: leaving}
 }
 
+func data[T any](r retain.Released[T]) []T {
+	var all []T
+	for _, c := range r.Copies {
+		all = append(all, c.Data)
+	}
+	return all
+}
+
 // The copies for a restarting target must go to its successor, in order, and neither to
 // the leaving process again nor to the target of the same name of another service.
 func TestCopiesGoToSuccessor(t *testing.T) {
@@ -39,7 +47,7 @@
 		}
 	}
 	all := b.ReleaseSet(40, target.NewSet(service, []target.Candidate{*process(5, false)}))
-	if len(all) != 1 || !slices.Equal(all[0].Data, []string{"a1", "b1", "a2"}) || all[0].Oldest != 40 {
+	if len(all) != 1 || !slices.Equal(data(all[0]), []string{"a1", "b1", "a2"}) || all[0].Oldest() != 40 {
 		t.Errorf("released %+v", all)
 	}
 	if b.Len() != 0 {
@@ -53,7 +61,7 @@
 	b.Add(0, service, process(4, true), alice, "old")
 	b.Add(clock.Second, service, process(4, true), bob, "new")
 	r, ok := b.Release(clock.Second+1, service, process(5, false))
-	if !ok || !slices.Equal(r.Data, []string{"new"}) || r.Expired != 1 {
+	if !ok || !slices.Equal(data(r), []string{"new"}) || r.Expired != 1 {
 		t.Errorf("released %+v, %t", r, ok)
 	}
 	b.Add(0, service, process(5, true), alice, "old")
@@ -77,7 +85,7 @@
 		t.Error("a copy beyond the bound was kept")
 	}
 	r, _ := b.Release(0, service, process(5, false))
-	if !slices.Equal(r.Data, []int{6, 7, 8, 107, 108}) {
-		t.Errorf("kept %v", r.Data)
+	if !slices.Equal(data(r), []int{6, 7, 8, 107, 108}) {
+		t.Errorf("kept %+v", r)
 	}
 }
--- a/internal/standin/model/model.go
+++ b/internal/standin/model/model.go
@@ -233,15 +233,18 @@
 		if t == nil {
 			return
 		}
-		copied := &wire.Envelope{
-			Kind: e.Kind, Stage: e.Stage, Service: e.Service, Target: e.Target, Incarnation: e.Incarnation,
-			Caller: e.Caller, Ask: e.Ask, Budget: e.Budget, Payload: e.Payload, Home: e.Home,
-			Visited: append([]uint32(nil), e.Visited...),
-		}
-		t.handleEnvelope(copied, via, d)
+		t.handleEnvelope(copyEnvelope(e), via, d)
 	})
 }
 
+func copyEnvelope(e *wire.Envelope) *wire.Envelope {
+	return &wire.Envelope{
+		Kind: e.Kind, Stage: e.Stage, Service: e.Service, Target: e.Target, Incarnation: e.Incarnation,
+		Caller: e.Caller, Ask: e.Ask, Budget: e.Budget, Payload: e.Payload, Home: e.Home, Age: e.Age,
+		Visited: append([]uint32(nil), e.Visited...),
+	}
+}
+
 // agentAt returns the running agent at an address.
 func (w *World) agentAt(a netip.AddrPort) *Target {
 	for _, t := range w.Targets {
--- a/internal/standin/model/retain.go
+++ b/internal/standin/model/retain.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 
+	"github.com/wagtailtray/wagtailtray/internal/connection/owner"
 	"github.com/wagtailtray/wagtailtray/internal/request/retain"
 	"github.com/wagtailtray/wagtailtray/internal/request/target"
 	"github.com/wagtailtray/wagtailtray/pkg/wire"
@@ -28,7 +29,11 @@
 // sendOrRetain sends an envelope, and keeps a copy if the target is leaving.
 func (w *World) sendOrRetain(r retainer, to *target.Candidate, caller netip.AddrPort, h hop) {
 	w.sendEnvelope(h.from, to.Tunnel, h.envelope, h.via, h.datagram)
-	if to.Leaving {
+	if !to.Leaving {
+		return
+	}
+	h.envelope = copyEnvelope(h.envelope)
+	if owner.PrepareRetained(h.envelope) {
 		r.Add(w.Now(), service, to, caller, h)
 	}
 }
@@ -36,7 +41,9 @@
 // release sends the copies to the successors in a process's view.
 func (w *World) release(r retainer, set *target.Set) {
 	for _, released := range r.ReleaseSet(w.Now(), set) {
-		for _, h := range released.Data {
+		for _, c := range released.Copies {
+			h := c.Data
+			h.envelope.Age += uint32(c.Age)
 			w.sendEnvelope(h.from, released.To.Tunnel, h.envelope, h.via, h.datagram)
 		}
 	}
--- a/internal/standin/model/target.go
+++ b/internal/standin/model/target.go
@@ -211,7 +211,7 @@
 func (t *Target) notifySearcher(searcher *target.Candidate, caller netip.AddrPort) {
 	w := t.world
 	w.send(t.tunnel, searcher.Tunnel, func() {
-		if h := w.agentAt(searcher.Tunnel); h != nil && h.Incarnation == searcher.Incarnation {
+		if h := w.agentAt(searcher.Tunnel); h != nil && h.ID == searcher.ID && h.Incarnation >= searcher.Incarnation {
 			h.table.HandleFound(w.Now(), caller, t.ID)
 		}
 	})
