owner: a flow is not idle before its caller has been silent for 15 s

What callers saw: open sessions without an answer for 15 s at targets that nobody had restarted; `outlived` in the log of the agent.

Cause: on a machine short of processor time round trips take seconds, and a caller waits several of them before it sends again. A service may have an idle timeout of less (5 s in the trial), and its flows were ended in such a pause.

Why it works: the bound that restored flows have since holds for all; the rule for flows that are being opened is part of it. Only services with an idle time under 15 s hold ended flows longer than before.

Test before: TestPausingCallerIsNotIdle "ended while its caller may be pausing".

--- a/internal/connection/owner/decide.go
+++ b/internal/connection/owner/decide.go
@@ -237,7 +237,7 @@
 func (t *Table) adopt(p *packet, home target.ID) Decision {
 	f := &Flow{
 		Caller: p.caller, OpeningNumber: t.lastOpeningNumber.Add(1), Home: home,
-		Via: p.via, Started: p.now, LastIn: p.now, keepUntil: p.now + t.limits.Load().UnansweredTimeout, Trace: slices.Clone(p.e.Trace),
+		Via: p.via, Started: p.now, LastIn: p.now, Trace: slices.Clone(p.e.Trace),
 	}
 	link, err := p.dialer.Dial(f, 0)
 	if err != nil {
--- a/internal/connection/owner/idle_test.go
+++ b/internal/connection/owner/idle_test.go
@@ -92,3 +92,25 @@
 		t.Error("not ended after its caller has given up")
 	}
 }
+
+// A machine is short of processor time, a caller's round trips take seconds, and its pauses many.
+// Its flow must not be ended although the service's idle timeout is shorter.
+func TestPausingCallerIsNotIdle(t *testing.T) {
+	g := newGroup(t, 1)
+	a := g.agents[0]
+	a.table.SetLimits(owner.Limits{MaxFlows: 9, IdleTimeout: 5 * clock.Second, UnansweredTimeout: 10 * clock.Second})
+	take := func() owner.Decision {
+		return a.table.Take(owner.Arrival{Now: g.now, Envelope: g.opening(a), Via: g.caller}, a.view, a.local, a)
+	}
+	if _, ok := a.table.RecordAnswer(g.now, take().Flow, []byte{0x40}); !ok {
+		t.Fatal("the flow was not opened")
+	}
+	g.now += 11 * clock.Second
+	take()
+	if ended := a.table.Expire(g.now+13*clock.Second, false); len(ended) != 0 {
+		t.Error("ended while its caller may be pausing")
+	}
+	if ended := a.table.Expire(g.now+18*clock.Second, false); len(ended) != 1 {
+		t.Error("not ended after a pause that no caller makes")
+	}
+}
--- a/internal/connection/owner/ledger.go
+++ b/internal/connection/owner/ledger.go
@@ -127,10 +127,6 @@
 	return lost
 }
 
-// maxCallerPause is how long a caller may be silent after a restart. Its last copies may
-// have been lost in the restart, and it doubles its pause before each further one.
-const maxCallerPause = 15 * clock.Second
-
 // restore opens one flow again. A flow that is already open is left unchanged: a
 // ledger may arrive twice, from the platform and from a peer.
 func (t *Table) restore(now clock.Millis, entry Entry, dialer Dialer) bool {
--- a/internal/connection/owner/table.go
+++ b/internal/connection/owner/table.go
@@ -46,8 +46,8 @@
 	LastIn   clock.Millis
 	LastOut  clock.Millis
 	Answered bool
-	// keepUntil is when the flow may end as idle at the earliest: its caller may still be
-	// opening it, or waiting for an answer that a restart has cost it.
+	// keepUntil is when a restored flow may end as idle at the earliest: its caller may be
+	// waiting for an answer that the restart has cost it.
 	keepUntil clock.Millis
 
 	// Trace is the trace context of a datagram that has not been answered
@@ -253,10 +253,14 @@
 	return ended
 }
 
+// maxCallerPause is how long the caller of a flow in use may be silent: it doubles its pause
+// each time that it gets no answer. It bounds the idle timeout from below.
+const maxCallerPause = 15 * clock.Second
+
 func (t *Table) isExpired(now clock.Millis, f *Flow) bool {
 	limits := t.limits.Load()
 	last := max(f.LastIn, f.LastOut)
-	if now.Sub(last) > limits.IdleTimeout && now > f.keepUntil {
+	if now.Sub(last) > max(limits.IdleTimeout, maxCallerPause) && now > f.keepUntil {
 		return true
 	}
 	return !f.Answered && now.Sub(f.Started) > limits.UnansweredTimeout
