agent: openings that come while the lease has lapsed are queued, and searched for

What callers saw: an open session without an answer for 15 s beside well targets.

Cause: an agent whose heartbeats are not answered in time dropped what did not belong to a flow of its own. Beside busy processes leases lapse without a pause; each such loss costs the caller a pause of seconds, in which the upstream gives the handshake up.

Why it works: the datagram waits for the next answered heartbeat, a second at most, and carries the time since the last one as its age.

--- a/internal/connection/owner/opening.go
+++ b/internal/connection/owner/opening.go
@@ -28,7 +28,7 @@
 		p.markVisited()
 		return p.pass(home)
 	}
-	if p.view.HomeMayHaveChanged(p.now.Sub(p.age()), p.e.Caller) {
+	if p.age() > 0 || p.view.HomeMayHaveChanged(p.now, p.e.Caller) {
 		return t.startSearch(p)
 	}
 	return t.place(p)
--- a/internal/connection/owner/retain.go
+++ b/internal/connection/owner/retain.go
@@ -5,8 +5,8 @@
 	"github.com/wagtailtray/wagtailtray/pkg/wire"
 )
 
-// PrepareRetained rewrites an envelope so that a copy of it may reach a target's successor
-// late, and reports false if none may.
+// PrepareRetained rewrites an envelope so that a copy of it may be decided about late, by the
+// target that it was sent to or by its successor. It reports false if none may.
 //
 // A placement, or the end of a search, is a decision of its moment. By the time that the
 // successor receives it, another home may have decided. So the successor of a home gets the
@@ -24,7 +24,7 @@
 	return true
 }
 
-// age returns how long the datagram has waited for a target's successor.
+// age returns how long the datagram has waited for a target or its successor.
 func (p *packet) age() clock.Millis {
 	return clock.Millis(p.e.Age)
 }
--- a/internal/process/agent/queue.go
+++ b/internal/process/agent/queue.go
@@ -2,10 +2,11 @@
 
 import (
 	"net/netip"
-	"slices"
 
+	"github.com/wagtailtray/wagtailtray/internal/connection/owner"
 	"github.com/wagtailtray/wagtailtray/internal/request/envelope"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
+	"github.com/wagtailtray/wagtailtray/pkg/wire"
 )
 
 const (
@@ -18,23 +19,23 @@
 
 // queuedDatagram is a datagram received while the agent was fenced.
 type queuedDatagram struct {
-	caller     netip.AddrPort
 	from       netip.AddrPort
 	receivedAt clock.Millis
-	data       []byte
+	// envelope is marshalled. Its age is that of the pause if the flow is not open here.
+	envelope []byte
 }
 
-// enqueue queues a datagram of an open flow until the lease is renewed. A datagram that
-// opens a flow is dropped: it may be as old as the pause of the process, and its home may
-// have placed the flow elsewhere since.
+// enqueue queues a datagram until the lease is renewed. One of a flow that is not open here
+// may be as old as the pause of the process, and others may have decided about it since. So
+// a placement is dropped, and an opening is searched for.
 func (a *Agent) enqueue(w *worker, now clock.Millis, from netip.AddrPort) {
-	caller := envelope.ParseCaller(w.envelope.Caller)
-	if !a.table.Owns(caller) {
+	data, ok := a.prepareQueued(&w.envelope, now)
+	if !ok {
 		a.count.fenced.Inc(1)
 		return
 	}
 	select {
-	case a.queued <- queuedDatagram{caller: caller, from: from, receivedAt: now, data: slices.Clone(w.in[:w.size])}:
+	case a.queued <- queuedDatagram{from: from, receivedAt: now, envelope: data}:
 	default:
 		a.count.fenced.Inc(1)
 	}
@@ -44,6 +45,19 @@
 	}
 }
 
+// prepareQueued returns the envelope to queue, or false if it must be dropped.
+func (a *Agent) prepareQueued(e *wire.Envelope, now clock.Millis) ([]byte, bool) {
+	if a.table.Owns(envelope.ParseCaller(e.Caller)) {
+		e.Stage = wire.Stage_STAGE_OWNED
+	} else if owner.PrepareRetained(e) {
+		e.Age += uint32(now.Sub(clock.Millis(a.leaseStart.Load())))
+	} else {
+		return nil, false
+	}
+	data, err := e.MarshalVT()
+	return data, err == nil
+}
+
 // wakeQueue signals serveQueue to process the queue.
 func (a *Agent) wakeQueue() {
 	select {
@@ -67,7 +81,7 @@
 }
 
 // processQueue handles the queued datagrams while the agent is not fenced. It drops
-// those that waited too long or whose flow has ended.
+// those that waited too long.
 func (a *Agent) processQueue(w *worker) {
 	for range len(a.queued) {
 		now := a.deps.Clock.Now()
@@ -75,11 +89,11 @@
 			return
 		}
 		d := <-a.queued
-		if now.Sub(d.receivedAt) > maxQueueTime || !a.table.Owns(d.caller) {
+		w.envelope = wire.Envelope{}
+		if now.Sub(d.receivedAt) > maxQueueTime || w.envelope.UnmarshalVTUnsafe(d.envelope) != nil {
 			a.count.fenced.Inc(1)
 			continue
 		}
-		w.size = copy(w.in[:], d.data)
-		a.handleDatagram(w, d.from)
+		a.dispatch(w, d.from)
 	}
 }
--- a/internal/process/agent/queue_test.go
+++ b/internal/process/agent/queue_test.go
@@ -94,6 +94,16 @@
 	}
 }
 
+// The lease of a target has lapsed while its machine was short of processor time. An opening that
+// it reads then must not be lost: the caller would pause for seconds before the next one.
+func TestFencedOpeningIsQueued(t *testing.T) {
+	p := newPausedAgent(t)
+	p.receiveForward("203.0.113.10:4433", wire.Stage_STAGE_OPEN)
+	if p.resume(10); p.table.Len() != 2 {
+		t.Errorf("%d flows", p.table.Len())
+	}
+}
+
 // Queued datagrams must not be delivered by a superseded agent, nor after the maximum time in
 // the queue.
 func TestQueueAfterSupersessionOrTimeout(t *testing.T) {
