agent: the flows of a stopping agent are handed over while it still serves them

Cause: the ledger was offered only after the tunnel was closed. What peers took was an absence, and beyond 10 s a loss.

Why it works: an agent that leaves opens no flows, so a ledger made then has all that are left later; it is offered during the 2 s for which the agent serves anyway. The last ledger is tried for a second more, and for 10 s as before if the first is not stored. On the platform a final ledger replaces the first.

Test before: TestFlowsAreHandedOverWhileServed "stopping took 12.000846601s", "the successor gets no flows".

--- a/internal/connection/owner/ledger.go
+++ b/internal/connection/owner/ledger.go
@@ -33,7 +33,9 @@
 	Target string `json:"target"`
 	// Incarnation is that of the agent that stopped. Only the next
 	// incarnation imports the ledger, once.
-	Incarnation       uint32  `json:"incarnation"`
+	Incarnation uint32 `json:"incarnation"`
+	// Final is set if the agent served nothing any more when it made the ledger.
+	Final             bool    `json:"final,omitempty"`
 	LastOpeningNumber uint64  `json:"number"`
 	Flows             []Entry `json:"flows"`
 	// Records are the agent's recent records of flows that other targets own
@@ -90,7 +92,7 @@
 	}
 }
 
-// exportFlows lists the flows. The agent no longer accepts envelopes at this point.
+// exportFlows lists the flows.
 func (t *Table) exportFlows(now clock.Millis) []Entry {
 	var entries []Entry
 	for i := range t.shards {
--- a/internal/process/agent/handover.go
+++ b/internal/process/agent/handover.go
@@ -20,6 +20,9 @@
 	// handoverTimeout bounds how long a stopping agent tries to hand its flows over.
 	// A caller that receives nothing for longer gives its flow up.
 	handoverTimeout = 10 * time.Second
+	// updateTimeout bounds how long it tries that once an earlier ledger of its is stored:
+	// a target that leaves opens no flows, so the earlier one has all that are left.
+	updateTimeout = time.Second
 )
 
 // Stop stops the agent as planned. It stops accepting new flows at once, and serves its
@@ -34,6 +37,7 @@
 	linger := a.timing.LingerTime
 	a.rebuildViewLocked()
 	a.mu.Unlock()
+	stored := a.storeEarly(ctx)
 	a.spreadLeave(ctx, linger)
 	a.closeTunnel()
 	if a.table.Len() == 0 {
@@ -46,12 +50,35 @@
 		return
 	}
 	ledger := a.table.NewLedger(a.deps.Clock.Now(), a.objectName(), a.view.Load())
-	// The ports are released before the ledger can be read.
 	a.pool.Close()
-	a.handOver(ctx, ledger)
+	timeout := handoverTimeout
+	if stored() {
+		timeout = updateTimeout
+	}
+	ledger.Final = true
+	if !a.handOver(ctx, ledger, timeout) && timeout != updateTimeout {
+		a.logLost(ledger)
+	}
 	a.Kill()
 }
 
+// storeEarly begins to store a first ledger while the flows are still served, since nobody
+// serves them while the last one is being stored. It returns a function that ends the
+// attempt and reports whether the ledger is stored.
+func (a *Agent) storeEarly(ctx context.Context) func() bool {
+	if a.table.Len() == 0 {
+		return func() bool { return false }
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan bool, 1)
+	l := a.table.NewLedger(a.deps.Clock.Now(), a.objectName(), a.view.Load())
+	go func() { done <- a.handOver(ctx, l, handoverTimeout) }()
+	return func() bool {
+		cancel()
+		return <-done
+	}
+}
+
 // closeTunnel closes the tunnel and waits for the workers, so that the flow table
 // is final. Datagrams that arrive later are lost, and QUIC retransmits them.
 //
@@ -67,22 +94,30 @@
 	a.workers.Wait()
 }
 
-func (a *Agent) handOver(ctx context.Context, l *owner.Ledger) {
-	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+// handOver stores a ledger for the successor, and reports whether it could.
+func (a *Agent) handOver(ctx context.Context, l *owner.Ledger, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	start := a.deps.Clock.Now()
 	name, err := offerLedger(ctx, append([]recipient{a.platformRecipient(l)}, a.peerRecipients(l)...))
 	line := a.deps.Log.Info()
 	if err != nil {
-		line = a.deps.Log.Error()
+		line = a.deps.Log.Warn()
 	}
 	line = line.Str("event", "ledger").Int("flows", len(l.Flows)).Uint32("incarnation", l.Incarnation).
-		Int64("age", int64(a.deps.Clock.Now().Sub(start)))
+		Bool("final", l.Final).Int64("age", int64(a.deps.Clock.Now().Sub(start)))
 	if err != nil {
-		line.Err(err).Msg("flows lost: neither the platform nor a peer stored the ledger")
-		return
+		line.Err(err).Msg("neither the platform nor a peer stored this ledger in time")
+		return false
 	}
 	line.Str("to", name).Msg("ledger stored for the successor")
+	return true
+}
+
+// logLost logs that no ledger of the flows is stored.
+func (a *Agent) logLost(l *owner.Ledger) {
+	a.deps.Log.Error().Str("event", "ledger").Int("flows", len(l.Flows)).Uint32("incarnation", l.Incarnation).
+		Msg("flows lost: neither the platform nor a peer stored the ledger")
 }
 
 // writeLedger writes the ledger to the platform. It retries after conflicts and
@@ -97,7 +132,7 @@
 	return platform.ErrConflict
 }
 
-// putLedger creates or replaces the ledger on the platform. An existing ledger of
+// putLedger creates or replaces the ledger on the platform. An existing final ledger of
 // this incarnation is this one: the response to an earlier write was lost.
 func (a *Agent) putLedger(ctx context.Context, l *owner.Ledger) error {
 	o, err := a.deps.Store.Get(ctx, platform.Ledgers, a.objectName())
@@ -109,7 +144,7 @@
 		return err
 	}
 	var old owner.Ledger
-	if json.Unmarshal(o.Spec, &old) == nil && old.Incarnation >= l.Incarnation {
+	if json.Unmarshal(o.Spec, &old) == nil && (old.Incarnation > l.Incarnation || old.Incarnation == l.Incarnation && (old.Final || !l.Final)) {
 		return nil
 	}
 	if o.Spec, err = json.Marshal(l); err != nil {
--- a/internal/process/agent/handover_test.go
+++ b/internal/process/agent/handover_test.go
@@ -12,6 +12,7 @@
 	"github.com/wagtailtray/wagtailtray/internal/process/control"
 	"github.com/wagtailtray/wagtailtray/internal/process/member"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
+	"github.com/wagtailtray/wagtailtray/pkg/wire"
 )
 
 // slowPeer is a peer that delays all calls, or those of one method.
@@ -72,7 +73,7 @@
 	a.deps.Store = &fakeStore{failures: 1000}
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
-	a.handOver(ctx, &owner.Ledger{Target: a.objectName(), Incarnation: 3})
+	a.handOver(ctx, &owner.Ledger{Target: a.objectName(), Incarnation: 3}, handoverTimeout)
 	if l := a.findLedger(ctx); l == nil || l.Incarnation != 3 {
 		t.Errorf("got %+v", l)
 	}
@@ -116,3 +117,39 @@
 		t.Errorf("got peers %+v", got)
 	}
 }
+
+// closingPeer answers calls until a time, and none after it.
+type closingPeer struct {
+	peer  *Agent
+	until time.Time
+}
+
+func (c *closingPeer) Handle(ctx context.Context, m control.Method, params json.RawMessage) (any, error) {
+	if time.Now().After(c.until) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return c.peer.Handle(ctx, m, params)
+}
+
+// The platform is down, and the only peer answers while the agent still serves, but not later.
+// The flows must not be lost, and their callers must not wait for the peer.
+func TestFlowsAreHandedOverWhileServed(t *testing.T) {
+	a, peer := newAgentBesidePeer(t, netip.MustParseAddrPort("127.0.0.1:9")), newTestAgent(t, clock.System())
+	a.accepting.Store(true)
+	handleCaller(t, a, wire.Stage_STAGE_PLACED, 0x80)
+	a.timing.LingerTime = 2 * clock.Second
+	a.peers = nil
+	servePeer(t, a, &closingPeer{peer: peer, until: time.Now().Add(time.Second)})
+	ctx, cancel := context.WithCancel(t.Context())
+	a.cancel = cancel
+	a.serve(ctx)
+	start := time.Now()
+	a.Stop(t.Context())
+	if took := time.Since(start); took > 8*time.Second {
+		t.Errorf("stopping took %s", took)
+	}
+	if l := peer.handleTake(&wire.Take{Target: a.objectName(), Incarnation: 5}); len(l.Ledger) == 0 {
+		t.Error("the successor gets no flows")
+	}
+}
--- a/internal/process/agent/takeover.go
+++ b/internal/process/agent/takeover.go
@@ -47,7 +47,9 @@
 	}
 	if ctx.Err() != nil {
 		l.Incarnation = a.self.Incarnation
-		a.handOver(context.WithoutCancel(ctx), l)
+		if !a.handOver(context.WithoutCancel(ctx), l, handoverTimeout) {
+			a.logLost(l)
+		}
 		return ctx.Err()
 	}
 	lost := a.table.Import(a.deps.Clock.Now(), l, a.pool)
