--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -8,17 +8,11 @@
 	"net/netip"
 	"runtime"
 	"syscall"
-	"time"
 
-	"github.com/wagtailtray/wagtailtray/internal/connection/owner"
-	"github.com/wagtailtray/wagtailtray/internal/connection/upstream"
-	"github.com/wagtailtray/wagtailtray/internal/process/balancer"
 	"github.com/wagtailtray/wagtailtray/internal/process/control"
 	"github.com/wagtailtray/wagtailtray/internal/process/member"
 	"github.com/wagtailtray/wagtailtray/internal/request/envelope"
-	"github.com/wagtailtray/wagtailtray/internal/request/target"
 	"github.com/wagtailtray/wagtailtray/internal/version/config"
-	"github.com/wagtailtray/wagtailtray/pkg/clock"
 	"github.com/wagtailtray/wagtailtray/pkg/key"
 	"github.com/wagtailtray/wagtailtray/pkg/wire"
 )
@@ -152,95 +146,6 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 20), byte(i >> 12), byte(i >> 4)}), uint16(1024+i&0xf))
 }
 
-func hintBytes(n int) (float64, error) {
-	return memoryGrowth(func() (any, error) {
-		h := target.NewHints(target.Limits{MaxHints: 2 * n, MaxPending: 1, WalksPerSecond: 1})
-		for i := range n {
-			a := callerAddr(i)
-			h.Confirm(clock.Hour, 1, a, envelope.AppendCaller(nil, a), 7, 1)
-		}
-		return h, nil
-	})
-}
-
-// newTable returns an agent's table with n flows, opened through dialer.
-func newTable(n int, dialer owner.Dialer) *owner.Table {
-	id := target.IDFromName("a")
-	set := target.NewSet(1, []target.Candidate{{ID: id, Name: "a", Incarnation: 1}})
-	view := owner.NewObserver(id).View(0, set, 1, clock.Second)
-	t := owner.NewTable(owner.Limits{MaxFlows: n + 1, MaxPlacements: 1000, IdleTimeout: clock.Hour, UnansweredTimeout: clock.Hour}, owner.NewPeerLoads(clock.Hour))
-	for i := range n {
-		e := &wire.Envelope{
-			Kind: wire.Kind_KIND_FORWARD, Stage: wire.Stage_STAGE_PLACED, Service: 1, Target: id, Incarnation: 1,
-			Caller: envelope.AppendCaller(nil, callerAddr(i)), Budget: 9, Payload: []byte{0x80},
-		}
-		t.Take(owner.Arrival{Now: clock.Hour, Envelope: e, Via: callerAddr(i)}, view, owner.LocalState{Accepting: true}, dialer)
-	}
-	return t
-}
-
-func flowBytes(n int) (float64, error) {
-	pool, err := upstream.NewPool(loopback, netip.AddrPortFrom(loopback, 9), 2, func(*owner.Flow, []byte) {})
-	if err != nil {
-		return 0, err
-	}
-	defer pool.Close()
-	return memoryGrowth(func() (any, error) { return newTable(n, pool), nil })
-}
-
-func ledgerBytes(n int) (float64, error) {
-	pool, err := upstream.NewPool(loopback, netip.AddrPortFrom(loopback, 9), 2, func(*owner.Flow, []byte) {})
-	if err != nil {
-		return 0, err
-	}
-	defer pool.Close()
-	t := newTable(n, pool)
-	view := &owner.View{Incarnation: 1}
-	data, err := json.Marshal(t.NewLedger(clock.Hour, "web.a", view))
-	return float64(len(data)), err
-}
-
-func recordBytes(n int) (float64, error) {
-	const services = 1200
-	return memoryGrowth(func() (any, error) {
-		b, err := newTestBalancer(false)
-		if err != nil {
-			return nil, err
-		}
-		b.Preload(newState(services, 1), targetRecords(n, services))
-		return b, nil
-	})
-}
-
-func serviceBytes(n int) (float64, error) {
-	return memoryGrowth(func() (any, error) {
-		b, err := newTestBalancer(false)
-		if err != nil {
-			return nil, err
-		}
-		b.Preload(newState(n, 1), nil)
-		return b, nil
-	})
-}
-
-func edgeBytes(n int) (float64, error) {
-	var b *balancer.Balancer
-	withEdges, err := memoryGrowth(func() (any, error) {
-		var err error
-		if b, err = newTestBalancer(true); err != nil {
-			return nil, err
-		}
-		b.Preload(newState(n, 1), nil)
-		return b, nil
-	})
-	if err != nil {
-		return 0, err
-	}
-	b.Kill()
-	without, err := serviceBytes(n)
-	return withEdges - without, err
-}
-
 func memberChangeTime(n int) (float64, error) {
 	const services, known = 1200, 3300
 	b, err := newTestBalancer(false)
@@ -386,102 +291,3 @@
 	const headers = 28
 	return float64(e.SizeVT() + envelope.TrailerSize + headers)
 }
-
-// syncedHandler answers comparisons like a balancer whose tables are the same as the
-// caller's.
-type syncedHandler struct{}
-
-func (syncedHandler) Handle(context.Context, control.Method, json.RawMessage) (any, error) {
-	return &wire.Synced{Version: 9999, Digest: 1 << 60}, nil
-}
-
-func callTime(n int) (float64, error) {
-	var t float64
-	err := withServer(func(address netip.AddrPort, client *control.Client) error {
-		var err error
-		t, err = cpuTimeOf(func() error { return callRepeatedly(n, address, client) })
-		return err
-	})
-	return t, err
-}
-
-func callRepeatedly(n int, address netip.AddrPort, client *control.Client) error {
-	for range n {
-		var reply wire.Synced
-		request := &wire.Sync{From: "norte-matosinhos-070", Version: 9999, Digest: 1 << 60}
-		if err := client.Call(context.Background(), address, control.Sync, request, &reply); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func withServer(do func(netip.AddrPort, *control.Client) error) error {
-	ring, err := key.Parse(testKey)
-	if err != nil {
-		return err
-	}
-	server, err := control.Serve(context.Background(), loopbackAnyPort, ring, syncedHandler{})
-	if err != nil {
-		return err
-	}
-	defer server.Close()
-	client, err := control.NewClient(ring)
-	if err != nil {
-		return err
-	}
-	defer client.Close()
-	if err := callRepeatedly(1, server.Address(), client); err != nil {
-		return err
-	}
-	return do(server.Address(), client)
-}
-
-func callBytes(n int) (float64, error) {
-	var count float64
-	err := withServer(func(address netip.AddrPort, client *control.Client) error {
-		proxy, err := newCountingProxy(address)
-		if err != nil {
-			return err
-		}
-		defer proxy.close()
-		if err := callRepeatedly(1, proxy.address, client); err != nil {
-			return err
-		}
-		before := proxy.bytes.Load()
-		err = callRepeatedly(n, proxy.address, client)
-		count = float64(proxy.bytes.Load() - before)
-		return err
-	})
-	return count, err
-}
-
-func connectionBytes(n int) (float64, error) {
-	var growth float64
-	err := withServer(func(address netip.AddrPort, _ *control.Client) error {
-		ring, err := key.Parse(testKey)
-		if err != nil {
-			return err
-		}
-		var clients []*control.Client
-		growth, err = memoryGrowth(func() (any, error) {
-			for range n {
-				c, err := control.NewClient(ring)
-				if err != nil {
-					return nil, err
-				}
-				clients = append(clients, c)
-				if err := callRepeatedly(1, address, c); err != nil {
-					return nil, err
-				}
-			}
-			time.Sleep(100 * time.Millisecond)
-			return clients, nil
-		})
-		for _, c := range clients {
-			c.Close()
-		}
-		return err
-	})
-	return growth, err
-}
