--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -40,11 +40,11 @@
 	"github.com/wagtailtray/wagtailtray/internal/connection/upstream"
 	"github.com/wagtailtray/wagtailtray/internal/process/control"
 	"github.com/wagtailtray/wagtailtray/internal/process/member"
+	"github.com/wagtailtray/wagtailtray/internal/process/successor"
 	"github.com/wagtailtray/wagtailtray/internal/process/tasks"
 	"github.com/wagtailtray/wagtailtray/internal/process/trace"
 	"github.com/wagtailtray/wagtailtray/internal/request/envelope"
 	"github.com/wagtailtray/wagtailtray/internal/request/quic"
-	"github.com/wagtailtray/wagtailtray/internal/request/retain"
 	"github.com/wagtailtray/wagtailtray/internal/request/target"
 	"github.com/wagtailtray/wagtailtray/internal/version/config"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
@@ -119,13 +119,11 @@
 	queued       chan queuedDatagram
 	leaseRenewed chan struct{}
 	closing      chan struct{}
-	// retained has copies of datagrams passed to leaving targets, and viewChanged signals
-	// serveRetained to look for their successors.
-	retained    *retain.Buffer[[]byte]
-	viewChanged chan struct{}
-	accepting   atomic.Bool
-	sequence    atomic.Uint64
-	buffers     sync.Pool
+	// waiting has copies of what was passed to leaving peers, for their successors.
+	waiting   *successor.Waiting
+	accepting atomic.Bool
+	sequence  atomic.Uint64
+	buffers   sync.Pool
 	// leaseMillis, digestMillis and rampMillis are configuration values that
 	// are read without a lock.
 	leaseMillis  atomic.Int64
@@ -192,11 +190,12 @@
 		settings: settings, deps: deps, count: newCounters(deps.Scope),
 		flowLog: deps.Log.Sample(&zerolog.BurstSampler{Burst: maxFlowLogsPerSecond, Period: time.Second}),
 		queued:  make(chan queuedDatagram, maxQueued), leaseRenewed: make(chan struct{}, 1), closing: make(chan struct{}),
-		retained: retain.NewBuffer[[]byte](retain.DefaultLimits()), viewChanged: make(chan struct{}, 1), leavingPeers: map[target.ID]leavingPeer{},
-		client: client, refusedCallers: refused,
+		leavingPeers: map[target.ID]leavingPeer{},
+		client:       client, refusedCallers: refused,
 		sealer:   envelope.NewSealer(deps.Ring, envelope.MaxSize(settings.MTU, settings.Tunnel.Addr())),
 		observer: owner.NewObserver(target.IDFromName(settings.Name)), peerLedgers: map[string]peerLedger{}, fatal: make(chan error, 1), outOfSync: make(chan struct{}, 1),
 	}
+	a.waiting = a.newWaiting()
 	a.buffers.New = func() any {
 		b := make([]byte, 0, envelope.MaxDatagramSize)
 		return &b
@@ -295,7 +294,7 @@
 		a.workers.Go(a.serveTunnel)
 	}
 	a.workers.Go(a.serveQueue)
-	a.workers.Go(a.serveRetained)
+	a.workers.Go(a.serveWaiting)
 	a.background.Go(func() { a.runHeartbeats(ctx) })
 	a.background.Go(func() { a.runDigests(ctx) })
 	a.background.Go(func() { a.runSweeps(ctx) })
--- a/internal/process/agent/count.go
+++ b/internal/process/agent/count.go
@@ -14,7 +14,6 @@
 	forged, malformed, large, unsent, fenced   tally.Counter
 	digests, digestsLate, announced, unheard   tally.Counter
 	restored, unrestored, outlived             tally.Counter
-	released, unretained                       tally.Counter
 	flows                                      tally.Gauge
 	dropped                                    map[owner.Reason]tally.Counter
 }
@@ -29,7 +28,6 @@
 		digests: s.Counter("digests"), digestsLate: s.Counter("digests_late"),
 		announced: s.Counter("announced"), unheard: s.Counter("unheard"),
 		restored: s.Counter("restored"), unrestored: s.Counter("unrestored"), outlived: s.Counter("outlived"),
-		released: s.Counter("released"), unretained: s.Counter("unretained"),
 		flows: s.Gauge("flows"), dropped: map[owner.Reason]tally.Counter{},
 	}
 	for _, r := range owner.Reasons {
--- a/internal/process/agent/load.go
+++ b/internal/process/agent/load.go
@@ -193,7 +193,7 @@
 		return
 	}
 	a.count.digests.Inc(1)
-	a.noticeSuccessor(now, e.Digest, from)
+	a.noticeSuccessor(e.Digest, from)
 }
 
 // runSweeps ends expired flows and notifies their homes until the context ends.
--- a/internal/process/agent/tunnel.go
+++ b/internal/process/agent/tunnel.go
@@ -236,7 +236,7 @@
 	a.count.passed.Inc(1)
 	a.send(w, &w.envelope, d.To.Tunnel)
 	if d.To.Leaving {
-		a.retain(w, d)
+		a.keepForSuccessor(w, d)
 	}
 }
 
--- a/internal/process/agent/view.go
+++ b/internal/process/agent/view.go
@@ -155,7 +155,7 @@
 		a.loads.Retain(set)
 	}
 	a.view.Store(v)
-	a.wakeRetained()
+	a.waiting.Wake()
 }
 
 func (a *Agent) candidate(m *member.Member) target.Candidate {
--- a/internal/process/agent/waiting_test.go
+++ b/internal/process/agent/waiting_test.go
@@ -107,7 +107,7 @@
 func TestPassedDatagramReachesPeerOfNextView(t *testing.T) {
 	_, closed := listenUDP(t)
 	a := newAgentBesidePeer(t, closed)
-	a.workers.Go(a.serveRetained)
+	a.workers.Go(a.serveWaiting)
 	setPeer := func(m member.Member) {
 		a.mu.Lock()
 		defer a.mu.Unlock()
--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -38,10 +38,10 @@
 
 	"github.com/wagtailtray/wagtailtray/internal/process/control"
 	"github.com/wagtailtray/wagtailtray/internal/process/member"
+	"github.com/wagtailtray/wagtailtray/internal/process/successor"
 	"github.com/wagtailtray/wagtailtray/internal/process/tasks"
 	"github.com/wagtailtray/wagtailtray/internal/process/trace"
 	"github.com/wagtailtray/wagtailtray/internal/request/envelope"
-	"github.com/wagtailtray/wagtailtray/internal/request/retain"
 	"github.com/wagtailtray/wagtailtray/internal/request/target"
 	"github.com/wagtailtray/wagtailtray/internal/version/config"
 	"github.com/wagtailtray/wagtailtray/internal/version/spread"
@@ -108,15 +108,11 @@
 	count    counters
 	hints    *target.Hints
 	sealer   *envelope.Sealer
-	// agedSealer leaves no room for the age of a datagram, which its datagrams have.
-	agedSealer *envelope.Sealer
-	snapshot   atomic.Pointer[snapshot]
-	tunnels    []*tunnel
-	paths      target.Paths
-	// retained has copies of datagrams sent to leaving targets, and snapshotChanged signals
-	// serveRetained to look for their successors.
-	retained        *retain.Buffer[[]byte]
-	snapshotChanged chan struct{}
+	snapshot atomic.Pointer[snapshot]
+	tunnels  []*tunnel
+	paths    target.Paths
+	// waiting has copies of what was sent to leaving targets, for their successors.
+	waiting *successor.Waiting
 	// publishedEdges is the copy of edges that the packet path reads.
 	publishedEdges atomic.Pointer[map[uint32]*edge]
 
@@ -154,14 +150,13 @@
 	}
 	b := &Balancer{
 		settings: settings, deps: deps, count: newCounters(deps.Scope),
-		hints:      target.NewHints(settings.Limits),
-		sealer:     envelope.NewSealer(deps.Ring, envelope.MaxSize(settings.MTU, settings.Tunnel)-envelope.WalkReserve),
-		agedSealer: envelope.NewSealer(deps.Ring, envelope.MaxSize(settings.MTU, settings.Tunnel)-envelope.WalkReserve+envelope.AgeSize),
-		retained:   retain.NewBuffer[[]byte](retain.DefaultLimits()), snapshotChanged: make(chan struct{}, 1),
+		hints:   target.NewHints(settings.Limits),
+		sealer:  envelope.NewSealer(deps.Ring, envelope.MaxSize(settings.MTU, settings.Tunnel)-envelope.WalkReserve),
 		replica: spread.NewReplica(), table: member.NewTable(),
 		tracked: map[member.Key]*trackedTarget{}, targetKeys: map[heartbeatKey]member.Key{}, serviceChanges: map[string]uint64{}, edges: map[uint32]*edge{},
 		client: client, updates: make(chan update, maxQueuedUpdates), heartbeats: make(chan queuedHeartbeat, maxQueuedHeartbeats),
 	}
+	b.waiting = b.newWaiting()
 	b.snapshot.Store(&snapshot{sets: map[uint32]*target.Set{}})
 	return b, nil
 }
@@ -184,7 +179,7 @@
 	}
 	b.join(ctx)
 	b.run(ctx, b.servePushes)
-	b.run(ctx, b.serveRetained)
+	b.run(ctx, b.serveWaiting)
 	b.run(ctx, b.serveHeartbeats)
 	b.run(ctx, b.runTicker)
 	b.serveTunnels()
--- a/internal/process/balancer/counters.go
+++ b/internal/process/balancer/counters.go
@@ -10,7 +10,6 @@
 	suspected, refuted, pushed, newsLost  tally.Counter
 	synced, syncFailed, applied, announce tally.Counter
 	beats, beatsLost                      tally.Counter
-	released, unretained                  tally.Counter
 }
 
 func newCounters(s tally.Scope) counters {
@@ -23,6 +22,5 @@
 		pushed: s.Counter("pushed"), newsLost: s.Counter("news_lost"),
 		synced: s.Counter("synced"), syncFailed: s.Counter("sync_failed"),
 		applied: s.Counter("versions"), announce: s.Counter("announcements"), beats: s.Counter("beats"), beatsLost: s.Counter("beats_lost"),
-		released: s.Counter("released"), unretained: s.Counter("unretained"),
 	}
 }
--- a/internal/process/balancer/edge.go
+++ b/internal/process/balancer/edge.go
@@ -150,7 +150,7 @@
 	}
 	b.updatePath(&route)
 	if b.send(w, &route) && route.Target.Leaving {
-		b.retain(w, &route, from)
+		b.waiting.Keep(&w.envelope, route.Target)
 	}
 }
 
--- a/internal/process/balancer/view.go
+++ b/internal/process/balancer/view.go
@@ -28,7 +28,7 @@
 		s.sets[e.Number] = b.buildTargetSet(state, e)
 	}
 	b.snapshot.Store(s)
-	b.wakeRetained()
+	b.waiting.Wake()
 }
 
 // updateSnapshot rebuilds the parts of the snapshot that the records belong to.
@@ -52,7 +52,7 @@
 		}
 	}
 	b.snapshot.Store(next)
-	b.wakeRetained()
+	b.waiting.Wake()
 }
 
 // buildTargetSet returns a service's targets for the packet path, and indexes the
--- a/internal/process/balancer/waiting_test.go
+++ b/internal/process/balancer/waiting_test.go
@@ -20,7 +20,7 @@
 	if err := b.openTunnels(); err != nil {
 		t.Fatal(err)
 	}
-	b.run(t.Context(), b.serveRetained)
+	b.run(t.Context(), b.serveWaiting)
 	leaving := webTarget(closed)
 	leaving.State, leaving.Sequence = member.Leaving, 2
 	b.mergeMembers([]*wire.Member{leaving.Wire()})
