--- a/internal/process/agent/leave.go
+++ b/internal/process/agent/leave.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"net"
+	"net/netip"
 	"slices"
 
 	"github.com/wagtailtray/wagtailtray/internal/process/member"
@@ -39,7 +40,7 @@
 // sendLeft tells the peers that this target has left, from another socket: the number of
 // flows is final only once the tunnel is closed.
 func (a *Agent) sendLeft() {
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(a.settings.Tunnel))
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(a.settings.Tunnel.Addr(), 0)))
 	if err != nil {
 		a.count.unsent.Inc(1)
 		return
--- a/internal/process/agent/queue.go
+++ b/internal/process/agent/queue.go
@@ -21,7 +21,7 @@
 type queuedDatagram struct {
 	from       netip.AddrPort
 	receivedAt clock.Millis
-	// envelope is marshalled. Its age is that of the pause if the flow is not open here.
+	// envelope is marshalled. Its age is that of the pause.
 	envelope []byte
 }
 
@@ -47,13 +47,13 @@
 
 // prepareQueued returns the envelope to queue, or false if it must be dropped.
 func (a *Agent) prepareQueued(e *wire.Envelope, now clock.Millis) ([]byte, bool) {
-	if a.table.Owns(envelope.ParseCaller(e.Caller)) {
+	if !owner.PrepareRetained(e) {
+		if !a.table.Owns(envelope.ParseCaller(e.Caller)) {
+			return nil, false
+		}
 		e.Stage = wire.Stage_STAGE_OWNED
-	} else if owner.PrepareRetained(e) {
-		e.Age += uint32(now.Sub(clock.Millis(a.leaseStart.Load())))
-	} else {
-		return nil, false
 	}
+	e.Age += uint32(now.Sub(clock.Millis(a.leaseStart.Load())))
 	data, err := e.MarshalVT()
 	return data, err == nil
 }
