agent: what a leaving balancer still brings is answered through another one

What callers would see: no answers for some time after a planned stop of a balancer, until they send again.

Cause: an agent moved its flows to another balancer at each word of the leaving one; a datagram that this one brought after its last word moved the flow back, and the answers were lost when it had ended.

Why it works: who leaves is remembered for longer than it serves.

Test before: TestAnswersAvoidLeavingBalancer "Via:127.0.0.1:7 [...] want one that is answered through 127.0.0.2:7".

--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -116,9 +116,10 @@
 	leaseStart atomic.Int64
 	// queued has the datagrams received while the agent was fenced, leaseRenewed signals
 	// serveQueue to process them, and closing is closed before the tunnel.
-	queued       chan queuedDatagram
-	leaseRenewed chan struct{}
-	closing      chan struct{}
+	queued           chan queuedDatagram
+	leaseRenewed     chan struct{}
+	closing          chan struct{}
+	leavingBalancers atomic.Pointer[map[netip.AddrPort]leavingBalancer]
 	// waiting has copies of what was passed to leaving peers, for their successors.
 	waiting   *successor.Waiting
 	accepting atomic.Bool
--- a/internal/process/agent/tunnel.go
+++ b/internal/process/agent/tunnel.go
@@ -88,7 +88,7 @@
 			a.handlePeerLeave(e)
 			return
 		}
-		a.handleBalancerLeave(from)
+		a.handleBalancerLeave(now, from)
 	default:
 		a.count.malformed.Inc(1)
 	}
@@ -113,6 +113,7 @@
 	if len(e.Via) > 0 {
 		via = envelope.ParseCaller(e.Via)
 	}
+	via = a.returnVia(now, via)
 	view := a.view.Load()
 	arrival := owner.Arrival{Now: now, Envelope: e, Via: via, Random: rand.Float64()}
 	var local owner.LocalState
@@ -297,13 +298,3 @@
 		a.count.unsent.Inc(1)
 	}
 }
-
-// handleBalancerLeave moves the flows that are answered through a stopping
-// balancer to another one.
-func (a *Agent) handleBalancerLeave(balancer netip.AddrPort) {
-	other, ok := a.otherBalancer(balancer.Addr())
-	if !ok {
-		return
-	}
-	a.table.ReplaceVia(func(v netip.AddrPort) bool { return v == balancer }, other)
-}
--- /dev/null
+++ b/internal/process/agent/via.go
@@ -0,0 +1,55 @@
+package agent
+
+import (
+	"maps"
+	"net/netip"
+
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+)
+
+// leavingBalancer is a balancer that has told this agent that it leaves.
+type leavingBalancer struct {
+	heardAt clock.Millis
+	// other is the balancer to answer through instead.
+	other netip.AddrPort
+}
+
+// balancerLeaveTime is how long a balancer counts as leaving. It covers the time for which one
+// serves after its leave; later its address may be that of another process.
+const balancerLeaveTime = 10 * clock.Second
+
+// handleBalancerLeave moves the flows that are answered through a stopping balancer to
+// another one, and remembers the balancer.
+func (a *Agent) handleBalancerLeave(now clock.Millis, balancer netip.AddrPort) {
+	other, ok := a.otherBalancer(balancer.Addr())
+	if !ok {
+		return
+	}
+	a.table.ReplaceVia(func(v netip.AddrPort) bool { return v == balancer }, other)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	leaving := map[netip.AddrPort]leavingBalancer{}
+	if old := a.leavingBalancers.Load(); old != nil {
+		leaving = maps.Clone(*old)
+	}
+	maps.DeleteFunc(leaving, func(_ netip.AddrPort, l leavingBalancer) bool { return now.Sub(l.heardAt) > balancerLeaveTime })
+	leaving[balancer] = leavingBalancer{heardAt: now, other: other}
+	a.leavingBalancers.Store(&leaving)
+}
+
+// returnVia returns the balancer to answer through for a datagram that came through via.
+func (a *Agent) returnVia(now clock.Millis, via netip.AddrPort) netip.AddrPort {
+	leaving := a.leavingBalancers.Load()
+	if leaving == nil {
+		return via
+	}
+	// The other one may leave too.
+	for range *leaving {
+		l, ok := (*leaving)[via]
+		if !ok || now.Sub(l.heardAt) > balancerLeaveTime {
+			break
+		}
+		via = l.other
+	}
+	return via
+}
--- a/internal/process/agent/waiting_test.go
+++ b/internal/process/agent/waiting_test.go
@@ -197,3 +197,19 @@
 		t.Error("the leave of the earlier process holds for the next one")
 	}
 }
+
+// A balancer serves for a while after it has said that it leaves. Answers to what it still brings
+// must go through another one: they would be lost once it has ended, until the caller sends again.
+func TestAnswersAvoidLeavingBalancer(t *testing.T) {
+	a := newAgentBesidePeer(t, netip.MustParseAddrPort("127.0.0.1:9"))
+	a.accepting.Store(true)
+	leaving, other := netip.MustParseAddrPort("127.0.0.1:7"), netip.MustParseAddrPort("127.0.0.2:7")
+	a.tunnels = []netip.AddrPort{leaving, other}
+	handleSealed(t, a, &wire.Envelope{Kind: wire.Kind_KIND_LEAVE}, leaving)
+	handleCaller(t, a, wire.Stage_STAGE_PLACED, 0x80)
+	handleCaller(t, a, wire.Stage_STAGE_OWNED, 0x40)
+	entries := a.table.NewLedger(a.deps.Clock.Now(), "web.t1", a.view.Load()).Flows
+	if len(entries) != 1 || entries[0].Via != other {
+		t.Errorf("flows %+v, want one that is answered through %s", entries, other)
+	}
+}
