agent: a last ledger without flows replaces one that was stored early

What callers would have seen: flows opened at a target that others do not know yet, and taken twice.

Cause: since a stopping agent stores its flows while it serves them. If they ended meanwhile it left without a last ledger; the first one stayed, and the next process of that name would have taken ended flows over and passed for a successor, which opens flows at once.

Evidence: found while reading the diff; the test.

Why it works: the last ledger is stored whenever a first one was, and one without flows is no predecessor.

Test before: TestEndedFlowsAreNotHandedOver "the successor gets &{Target:web.t1 Incarnation:4 Final:false [...] Flows:[...]}".

--- a/internal/process/agent/handover.go
+++ b/internal/process/agent/handover.go
@@ -40,26 +40,30 @@
 	stored := a.storeEarly(ctx)
 	a.spreadLeave(ctx, linger)
 	a.closeTunnel()
+	a.pool.Close()
+	a.storeFinal(ctx, stored())
 	if a.table.Len() == 0 {
 		a.mu.Lock()
 		a.self.State = member.Left
 		a.mu.Unlock()
 		a.sendLeft()
 		a.announce(ctx)
-		a.Kill()
-		return
 	}
+	a.Kill()
+}
+
+// storeFinal stores the last ledger. One without flows is needed only to replace an earlier
+// one, whose flows have ended since.
+func (a *Agent) storeFinal(ctx context.Context, early bool) {
 	ledger := a.table.NewLedger(a.deps.Clock.Now(), a.objectName(), a.view.Load())
-	a.pool.Close()
-	timeout := handoverTimeout
-	if stored() {
-		timeout = updateTimeout
-	}
 	ledger.Final = true
-	if !a.handOver(ctx, ledger, timeout) && timeout != updateTimeout {
+	switch {
+	case early:
+		a.handOver(ctx, ledger, updateTimeout)
+	case len(ledger.Flows) == 0:
+	case !a.handOver(ctx, ledger, handoverTimeout):
 		a.logLost(ledger)
 	}
-	a.Kill()
 }
 
 // storeEarly begins to store a first ledger while the flows are still served, since nobody
--- a/internal/process/agent/handover_test.go
+++ b/internal/process/agent/handover_test.go
@@ -153,3 +153,23 @@
 		t.Error("the successor gets no flows")
 	}
 }
+
+// The last flows of a target end while it serves after its leave. A ledger that was stored before
+// must not bring them back: the next process of the target would pass for a successor with flows.
+func TestEndedFlowsAreNotHandedOver(t *testing.T) {
+	a, peer := newAgentBesidePeer(t, netip.MustParseAddrPort("127.0.0.1:9")), newTestAgent(t, clock.System())
+	a.accepting.Store(true)
+	handleCaller(t, a, wire.Stage_STAGE_PLACED, 0x80)
+	a.timing.LingerTime = 600
+	a.peers = nil
+	servePeer(t, a, peer)
+	ctx, cancel := context.WithCancel(t.Context())
+	a.cancel = cancel
+	a.serve(ctx)
+	time.AfterFunc(300*time.Millisecond, func() { a.table.Expire(a.deps.Clock.Now(), true) })
+	a.Stop(t.Context())
+	l, err := decodeLedger(peer.handleTake(&wire.Take{Target: a.objectName(), Incarnation: 5}).Ledger)
+	if err != nil || l != nil && len(l.Flows) > 0 {
+		t.Errorf("the successor gets %+v, %v", l, err)
+	}
+}
--- a/internal/process/agent/takeover.go
+++ b/internal/process/agent/takeover.go
@@ -52,6 +52,10 @@
 		}
 		return ctx.Err()
 	}
+	if len(l.Flows) == 0 {
+		// All had ended before the predecessor did.
+		return nil
+	}
 	lost := a.table.Import(a.deps.Clock.Now(), l, a.pool)
 	a.tookOver.Store(true)
 	a.count.restored.Inc(int64(len(l.Flows) - len(lost)))
