--- a/internal/process/agent/handover.go
+++ b/internal/process/agent/handover.go
@@ -20,8 +20,8 @@
 	// handoverTimeout bounds how long a stopping agent tries to hand its flows over.
 	// A caller that receives nothing for longer gives its flow up.
 	handoverTimeout = 10 * time.Second
-	// updateTimeout bounds how long it tries that once an earlier ledger of its is stored:
-	// a target that leaves opens no flows, so the earlier one has all that are left.
+	// updateTimeout bounds the attempts to replace a ledger that is already stored:
+	// a leaving target opens no flows, so the stored ledger has all that remain.
 	updateTimeout = time.Second
 )
 
