agent: a peer keeps a ledger for as long as a caller may pause

What callers would have seen: after a restart that takes longer than the service's idle timeout (5 s in the trial), with the platform away, the new agent holds no flows.

Cause: peers returned no ledger that was older than the idle timeout. Since the first ledger is stored two seconds or more before the agent is gone, so less of that time was left for the restart; and since a flow is kept for 15 s, also in a restart, but its ledger was not.

Evidence: found while reading; the test.

Test before: TestLedgerOutlastsRestart got "".

--- a/internal/connection/owner/ledger.go
+++ b/internal/connection/owner/ledger.go
@@ -141,7 +141,7 @@
 	seen := now.Sub(entry.Idle)
 	f := &Flow{
 		Caller: entry.Caller, OpeningNumber: entry.OpeningNumber, Home: entry.Home, Answered: entry.Answered,
-		Via: entry.Via, Started: seen, LastIn: seen, LastOut: seen, keepUntil: now + maxCallerPause,
+		Via: entry.Via, Started: seen, LastIn: seen, LastOut: seen, keepUntil: now + MaxCallerPause,
 		chosenID: string(entry.ChosenID), usedID: string(entry.UsedID),
 	}
 	link, err := dialer.Dial(f, entry.Port)
--- a/internal/connection/owner/table.go
+++ b/internal/connection/owner/table.go
@@ -253,14 +253,14 @@
 	return ended
 }
 
-// maxCallerPause is how long the caller of a flow in use may be silent: it doubles its pause
+// MaxCallerPause is how long the caller of a flow in use may be silent: it doubles its pause
 // each time that it gets no answer. It bounds the idle timeout from below.
-const maxCallerPause = 15 * clock.Second
+const MaxCallerPause = 15 * clock.Second
 
 func (t *Table) isExpired(now clock.Millis, f *Flow) bool {
 	limits := t.limits.Load()
 	last := max(f.LastIn, f.LastOut)
-	if now.Sub(last) > max(limits.IdleTimeout, maxCallerPause) && now > f.keepUntil {
+	if now.Sub(last) > max(limits.IdleTimeout, MaxCallerPause) && now > f.keepUntil {
 		return true
 	}
 	return !f.Answered && now.Sub(f.Started) > limits.UnansweredTimeout
--- a/internal/process/agent/peerledger.go
+++ b/internal/process/agent/peerledger.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/zeebo/errs"
 
+	"github.com/wagtailtray/wagtailtray/internal/connection/owner"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
 	"github.com/wagtailtray/wagtailtray/pkg/wire"
 )
@@ -44,11 +45,12 @@
 	return false
 }
 
-// ledgerExpired reports whether a ledger was stored longer ago than a flow may be idle, so
-// that its flows have either timed out or are served by a successor that took the ledger
-// from another peer: several peers may store the same ledger.
+// ledgerExpired reports whether a ledger was stored longer ago than the caller of a flow may
+// be silent, so that its flows have either timed out or are served by a successor that took
+// the ledger from another peer: several peers may store the same ledger.
 func (a *Agent) ledgerExpired(l *peerLedger) bool {
-	return a.service.IdleTimeout > 0 && a.deps.Clock.Now().Sub(l.receivedAt) > a.service.IdleTimeout
+	idle := a.service.IdleTimeout
+	return idle > 0 && a.deps.Clock.Now().Sub(l.receivedAt) > max(idle, owner.MaxCallerPause)
 }
 
 // handleTake returns a target's ledger to its successor.
--- a/internal/process/agent/takeover_test.go
+++ b/internal/process/agent/takeover_test.go
@@ -182,3 +182,22 @@
 		t.Errorf("got %q", got.Ledger)
 	}
 }
+
+// A restart takes longer than a service's flows may be idle. A peer must still have the ledger:
+// the callers of its flows wait for longer than that, and their flows would be lost.
+func TestLedgerOutlastsRestart(t *testing.T) {
+	c := &clock.Manual{}
+	a := newTestAgent(t, c)
+	a.service.IdleTimeout = 5 * clock.Second
+	if err := a.handleKeep(&wire.Keep{Target: "web.t2", Ledger: []byte("flows")}); err != nil {
+		t.Fatal(err)
+	}
+	c.Advance(owner.MaxCallerPause)
+	if got := a.handleTake(&wire.Take{Target: "web.t2", Incarnation: 6}); string(got.Ledger) != "flows" {
+		t.Errorf("got %q", got.Ledger)
+	}
+	c.Advance(1)
+	if got := a.handleTake(&wire.Take{Target: "web.t2", Incarnation: 6}); len(got.Ledger) > 0 {
+		t.Errorf("got %q after the pause", got.Ledger)
+	}
+}
