--- a/internal/process/agent/queue_test.go
+++ b/internal/process/agent/queue_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/wagtailtray/wagtailtray/internal/connection/owner"
 	"github.com/wagtailtray/wagtailtray/internal/connection/upstream"
+	"github.com/wagtailtray/wagtailtray/internal/process/member"
 	"github.com/wagtailtray/wagtailtray/internal/request/envelope"
 	"github.com/wagtailtray/wagtailtray/internal/request/target"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
@@ -104,6 +105,27 @@
 	}
 }
 
+// A home searches for a flow while the lease of its owner has lapsed. It must learn of the owner
+// once the lease is renewed, or it searches again for each further copy.
+func TestFencedSearchIsAnswered(t *testing.T) {
+	p := newPausedAgent(t)
+	if err := p.openTunnel(); err != nil {
+		t.Fatal(err)
+	}
+	home, address := listenUDP(t)
+	p.peers = []member.Member{peerRecord(address, 1, member.Alive)}
+	p.mu.Lock()
+	p.rebuildViewLocked()
+	p.mu.Unlock()
+	handleSealed(t, p.Agent, &wire.Envelope{
+		Kind: wire.Kind_KIND_FORWARD, Stage: wire.Stage_STAGE_SEARCH, Service: 1, Target: target.IDFromName("t1"), Incarnation: 4,
+		Home:   target.IDFromName("t2"),
+		Caller: envelope.AppendCaller(nil, netip.MustParseAddrPort("203.0.113.9:4433")), Budget: 9, Payload: []byte{0xc0},
+	}, netip.MustParseAddrPort("127.0.0.1:7"))
+	p.resume(10)
+	awaitKind(t, p.Agent, home, wire.Kind_KIND_FOUND)
+}
+
 // Queued datagrams must not be delivered by a superseded agent, nor after the maximum time in
 // the queue.
 func TestQueueAfterSupersessionOrTimeout(t *testing.T) {
--- a/internal/process/agent/waiting_test.go
+++ b/internal/process/agent/waiting_test.go
@@ -145,14 +145,15 @@
 		defer cancel()
 		a.Stop(ctx)
 	}()
-	awaitLeave(t, a, peer)
+	awaitKind(t, a, peer, wire.Kind_KIND_LEAVE)
 	if _, err := a.tunnel.WriteToUDPAddrPort([]byte{1}, address); err != nil {
 		t.Errorf("the tunnel is closed before peers know that the agent leaves: %v", err)
 	}
 	<-stopped
 }
 
-func awaitLeave(t *testing.T, a *Agent, conn *net.UDPConn) {
+// awaitKind waits until an envelope of a kind arrives.
+func awaitKind(t *testing.T, a *Agent, conn *net.UDPConn, kind wire.Kind) {
 	t.Helper()
 	opener := envelope.NewOpener(a.deps.Ring)
 	buffer := make([]byte, envelope.MaxDatagramSize)
@@ -160,10 +161,10 @@
 	for {
 		n, err := conn.Read(buffer)
 		if err != nil {
-			t.Fatalf("no leave: %v", err)
+			t.Fatalf("no %s: %v", kind, err)
 		}
 		var e wire.Envelope
-		if opener.Open(&e, buffer[:n]) == nil && e.Kind == wire.Kind_KIND_LEAVE {
+		if opener.Open(&e, buffer[:n]) == nil && e.Kind == kind {
 			return
 		}
 	}
@@ -213,3 +214,17 @@
 		t.Errorf("flows %+v, want one that is answered through %s", entries, other)
 	}
 }
+
+// The tunnel of an agent has a fixed port, and its next process has it already. The peers must
+// learn all the same that the target has no flows.
+func TestLeaveNeedsNoFixedPort(t *testing.T) {
+	a := newAgentBesidePeer(t, netip.MustParseAddrPort("127.0.0.1:9"))
+	peer, address := listenUDP(t)
+	_, a.settings.Tunnel = listenUDP(t)
+	a.mu.Lock()
+	a.peers = []member.Member{peerRecord(address, 1, member.Alive)}
+	a.rebuildViewLocked()
+	a.mu.Unlock()
+	a.sendLeft()
+	awaitKind(t, a, peer, wire.Kind_KIND_LEAVE)
+}
