--- a/internal/request/retain/buffer.go
+++ b/internal/request/retain/buffer.go
@@ -53,8 +53,14 @@
 	targets  map[targetKey]*targetCopies[T]
 	count    int
 	sequence uint64
+	// expiredAt is when old copies were last removed.
+	expiredAt clock.Millis
 }
 
+// expireInterval is the minimum time between two passes over a full buffer, which takes
+// time in proportion to its size.
+const expireInterval = 100 * clock.Millis(1)
+
 type targetKey struct {
 	service uint32
 	id      target.ID
@@ -108,7 +114,7 @@
 func (b *Buffer[T]) Add(now clock.Millis, service uint32, to *target.Candidate, caller netip.AddrPort, data T) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.count >= b.limits.MaxDatagrams {
+	if b.count >= b.limits.MaxDatagrams && now.Sub(b.expiredAt) >= expireInterval {
 		b.expire(now)
 	}
 	k := targetKey{service: service, id: to.ID}
@@ -191,6 +197,7 @@
 
 // expire removes the copies that are too old. The caller holds mu.
 func (b *Buffer[T]) expire(now clock.Millis) {
+	b.expiredAt = now
 	for k, t := range b.targets {
 		for caller, flow := range t.flows {
 			kept := slices.DeleteFunc(flow, func(c copied[T]) bool { return now.Sub(c.addedAt) > b.limits.MaxAge })
