--- a/internal/connection/owner/opening_test.go
+++ b/internal/connection/owner/opening_test.go
@@ -271,21 +271,29 @@
 	}
 }
 
+// twoSearches lets the first two targets of three each start a search for the flow, and returns
+// the datagrams that carry them.
+func (g *group) twoSearches(first, second *agent) (one, two *wire.Envelope) {
+	g.t.Helper()
+	names := []string{"a", "b", "c"}
+	g.setView(first, names, func(c *target.Candidate) { c.Sequence = 1 }, g.now)
+	g.setView(second, names, func(c *target.Candidate) { c.Suspected = c.ID == first.id }, g.now)
+	one, two = g.opening(first), g.opening(second)
+	g.step(one)
+	g.step(two)
+	if one.Stage != wire.Stage_STAGE_SEARCH || two.Stage != wire.Stage_STAGE_SEARCH || one.Home != first.id || two.Home != second.id {
+		g.t.Fatalf("no two searches: %s of %d, %s of %d", one.Stage, one.Home, two.Stage, two.Home)
+	}
+	return one, two
+}
+
 // An opening is two datagrams, and a target has just joined: one reaches it, the other one the
 // former home. The two searches meet. Both datagrams must reach the flow's owner: without one of
 // them the upstream cannot answer, and the caller waits for its next copies.
 func TestMeetingSearchesLoseNoDatagram(t *testing.T) {
 	g := newGroup(t, 3)
 	joined, former := g.agents[0], g.agents[1]
-	names := []string{"a", "b", "c"}
-	g.setView(joined, names, func(c *target.Candidate) { c.Sequence = 1 }, g.now)
-	g.setView(former, names, func(c *target.Candidate) { c.Suspected = c.ID == joined.id }, g.now)
-	one, two := g.opening(joined), g.opening(former)
-	g.step(one)
-	g.step(two)
-	if one.Stage != wire.Stage_STAGE_SEARCH || two.Stage != wire.Stage_STAGE_SEARCH || one.Home == two.Home {
-		t.Fatalf("no two searches: %s of %d, %s of %d", one.Stage, one.Home, two.Stage, two.Home)
-	}
+	one, two := g.twoSearches(joined, former)
 	for two.Target != joined.id {
 		g.step(two)
 	}
@@ -309,17 +317,9 @@
 func TestSlowSearchesDoNotYieldToEachOther(t *testing.T) {
 	g := newGroup(t, 3)
 	first, second, third := g.agents[0], g.agents[1], g.agents[2]
-	names := []string{"a", "b", "c"}
-	g.setView(first, names, func(c *target.Candidate) { c.Sequence = 1 }, g.now)
-	g.setView(second, names, func(c *target.Candidate) { c.Suspected = c.ID == first.id }, g.now)
-	one, two := g.opening(first), g.opening(second)
-	g.step(one)
-	g.step(two)
-	if one.Home != first.id || two.Home != second.id {
-		t.Fatalf("searches of %d and %d", one.Home, two.Home)
-	}
+	one, two := g.twoSearches(first, second)
 	g.now += clock.Second
-	g.setView(second, names, nil, g.now)
+	g.setView(second, []string{"a", "b", "c"}, nil, g.now)
 	two.Target = first.id
 	g.step(two)
 	g.now += clock.Second
