--- a/internal/connection/owner/search.go
+++ b/internal/connection/owner/search.go
@@ -21,8 +21,8 @@
 // startSearch starts a search for an earlier owner. The search expires with the
 // resend window, so one whose answer is lost does not delay the flow for long.
 //
-// This home decides from now on, so it does not keep the record of another home's search:
-// two homes that each leave the decision to the other would pass the flow back and forth.
+// This home decides from now on, so the record of another home's search is removed: two
+// homes that defer to each other would pass the flow back and forth.
 //
 // The search asks suspected targets last, and is lost at a dead one. By the time
 // the caller resends, a live target would have answered the first copy; the second
@@ -77,9 +77,9 @@
 func (t *Table) handleSearch(p *packet) Decision {
 	searcher := p.e.Home
 	if p.isSearching(p.view.ResendWindow) && target.Score(p.e.Caller, p.view.Self) > target.Score(p.e.Caller, searcher) {
-		// Two homes search for one flow. The scores alone decide which of them
-		// continues, whatever their views and however slow they are. The
-		// datagram is not only a copy: an opening may consist of several.
+		// Two homes search for one flow. Only the scores decide which of them
+		// continues, because they are the same in all views. The datagram is
+		// not dropped: it may be another part of the opening.
 		return t.startSearch(p)
 	}
 	old, recorded := p.shard.records.Get(p.caller)
--- a/internal/process/agent/leave.go
+++ b/internal/process/agent/leave.go
@@ -16,16 +16,16 @@
 // leaveRepeats is how many times a leave is sent while the agent lingers.
 const leaveRepeats = 3
 
-// leavingPeer is a process of a peer that has told this agent itself that it leaves. Its
-// record says so too, but reaches this agent only with a later heartbeat.
+// leavingPeer is a process of a peer that sent this agent a leave message. The peer's record
+// has the new state too, but reaches this agent only through a later heartbeat.
 type leavingPeer struct {
 	incarnation uint32
-	// left is set if the process has no flows, so that no successor will have them.
+	// left is set if the process ended without flows, so that it leaves none to a successor.
 	left bool
 }
 
-// spreadLeave announces the leave to balancers and peers, and waits until it has spread
-// unless there are no flows to serve.
+// spreadLeave announces the leave to balancers and peers. While there are flows, it waits for
+// the linger time, so that the leave is known everywhere when the flows are served no more.
 func (a *Agent) spreadLeave(ctx context.Context, linger clock.Millis) {
 	a.sendLeave(a.tunnel, nil)
 	a.announce(ctx)
@@ -37,8 +37,8 @@
 	}
 }
 
-// sendLeft tells the peers that this target has left, from another socket: the number of
-// flows is final only once the tunnel is closed.
+// sendLeft notifies the peers that this target has left. It uses a new socket, because the
+// number of flows is final only once the tunnel is closed.
 func (a *Agent) sendLeft() {
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(a.settings.Tunnel.Addr(), 0)))
 	if err != nil {
@@ -49,8 +49,7 @@
 	a.sendLeave(conn, &wire.Beat{})
 }
 
-// sendLeave tells the peers that this target is stopping. The final numbers are known, and
-// sent, only if it has no flows.
+// sendLeave sends the peers a leave message. final is nil while the target still serves.
 func (a *Agent) sendLeave(conn *net.UDPConn, final *wire.Beat) {
 	view := a.view.Load()
 	e := &wire.Envelope{
@@ -71,7 +70,8 @@
 	}
 }
 
-// handlePeerLeave records that a peer leaves, until its successor announces itself.
+// handlePeerLeave handles a peer's leave message, which holds until the peer's successor
+// announces itself.
 func (a *Agent) handlePeerLeave(e *wire.Envelope) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -97,12 +97,12 @@
 	})
 }
 
-// leaving reports whether a target leaves, according to its record or its own word.
+// leaving reports whether a target is leaving, by its record or its leave message.
 func (a *Agent) leaving(m *member.Member) bool {
 	return m.State == member.Leaving || a.leavingPeers[target.IDFromName(m.Name)].incarnation == m.Incarnation
 }
 
-// left reports whether a peer has left according to its own word.
+// left reports whether a peer has left, by its leave message.
 func (a *Agent) left(m *member.Member) bool {
 	p := a.leavingPeers[target.IDFromName(m.Name)]
 	return p.left && p.incarnation == m.Incarnation
--- a/internal/process/agent/via.go
+++ b/internal/process/agent/via.go
@@ -7,19 +7,19 @@
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
 )
 
-// leavingBalancer is a balancer that has told this agent that it leaves.
+// leavingBalancer is a balancer that sent this agent a leave message.
 type leavingBalancer struct {
 	heardAt clock.Millis
 	// other is the balancer to answer through instead.
 	other netip.AddrPort
 }
 
-// balancerLeaveTime is how long a balancer counts as leaving. It covers the time for which one
-// serves after its leave; later its address may be that of another process.
+// balancerLeaveTime is how long a balancer counts as leaving. It covers the linger time; later
+// the address may belong to another process.
 const balancerLeaveTime = 10 * clock.Second
 
-// handleBalancerLeave moves the flows that are answered through a stopping balancer to
-// another one, and remembers the balancer.
+// handleBalancerLeave moves the flows that are answered through a leaving balancer to another
+// one, and records the balancer for datagrams that it still forwards.
 func (a *Agent) handleBalancerLeave(now clock.Millis, balancer netip.AddrPort) {
 	other, ok := a.otherBalancer(balancer.Addr())
 	if !ok {
--- a/internal/process/successor/successor.go
+++ b/internal/process/successor/successor.go
@@ -1,7 +1,8 @@
-// Package successor sends what waited for a restarted target to the target's successor.
+// Package successor retains datagrams for targets that are being restarted and sends them to
+// the targets' successors. Balancers and agents share it.
 //
 // A process keeps a copy of each envelope that it sends to a leaving target, and sends the
-// copies once one of its views has the successor. Balancers and agents do so alike.
+// copies once one of its views has the successor.
 //
 // # Usage
 //
--- a/internal/request/target/hints.go
+++ b/internal/request/target/hints.go
@@ -139,7 +139,7 @@
 		return Route{}, false
 	}
 	if c.Leaving {
-		// Its silence says nothing: the flow waits for its successor.
+		// The owner may not answer any more, and only its successor will have the flow.
 		t.resetAsks(c.Incarnation)
 		return Route{Target: c, Stage: wire.Stage_STAGE_OWNED, Budget: maxWalkHops, Hinted: true}, true
 	}
