--- /dev/null
+++ b/review/_harness/cases.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+)
+
+const program = "target/node"
+
+var (
+	kept    = netip.MustParseAddrPort("198.18.0.1:443")
+	dropped = netip.MustParseAddrPort("198.18.0.2:443")
+)
+
+// lateRun returns how the rule CONFIG was broken if a request on the dropped route was run.
+func lateRun(o outcome, acked time.Time, through string) []string {
+	if o.answer == "" || o.sentAt.Sub(acked) <= configApply {
+		return nil
+	}
+	return []string{fmt.Sprintf(
+		"CONFIG: a request sent %.2f s after the acknowledgement of the version that drops its route was run, through %s: %s",
+		o.sentAt.Sub(acked).Seconds(), through, o.answer)}
+}
+
+// startFleet starts balancers, one for each entry of zones, and a target with its agent in
+// each of three zones.
+func startFleet(r *record, zones ...string) (*world, error) {
+	w, err := newWorld(r, program, zones...)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.putConfiguration(map[netip.AddrPort]string{kept: "one", dropped: "one"}); err != nil {
+		return w, err
+	}
+	if err := w.startBalancers(); err != nil {
+		return w, err
+	}
+	for _, zone := range uniq(zones) {
+		if err := w.startTarget(zone, "one"); err != nil {
+			return w, err
+		}
+	}
+	if err := w.waitReady(); err != nil {
+		return w, err
+	}
+	// All machines are in touch, and the balancers have agreed on who watches the store.
+	time.Sleep(2*stableWindow + 2*time.Second)
+	return w, nil
+}
+
+// silentStore lets the store fall silent towards one balancer of each zone, the one of the
+// highest rank, and serve the others. A route is dropped; the served balancers must follow.
+func silentStore(r *record, trouble bool) ([]string, error) {
+	w, err := startFleet(r, "za", "zb", "zc", "za", "zb", "zc")
+	if w != nil {
+		defer w.close()
+	}
+	if err != nil {
+		return nil, err
+	}
+	c, err := newClient(r, w.address(kindCaller, 0, portPackets))
+	if err != nil {
+		return nil, err
+	}
+	defer c.close()
+	served := []int{3, 4, 5}
+	for _, i := range served {
+		if o := c.request(uint16(2000+i), dropped, w.address(kindBalancer, i, portPackets), "before"); o.answer == "" {
+			return nil, fmt.Errorf("%w: no answer before the trouble", errSetup)
+		}
+	}
+	if trouble {
+		for i := range 3 {
+			w.storeProxies[i].setSilent(true)
+			r.add("the store is silent towards %s", w.balancers[i].name)
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+	acked, err := w.putConfiguration(map[netip.AddrPort]string{kept: "one"})
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(time.Until(acked.Add(configApply + 500*time.Millisecond)))
+	var broken []string
+	for n := range 6 {
+		for _, i := range served {
+			at := w.address(kindBalancer, i, portPackets)
+			o := c.request(uint16(3000+10*n+i), dropped, at, fmt.Sprintf("after-%d", n))
+			broken = append(broken, lateRun(o, acked, w.balancers[i].name+", which the store serves")...)
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	for i := range 3 {
+		w.storeProxies[i].setSilent(false)
+	}
+	time.Sleep(3 * time.Second)
+	for i, b := range w.balancers {
+		for _, line := range append(b.events(`"event":"watch"`), b.events(`"event":"version"`)...) {
+			r.add("log of balancer %d: %s", i, line)
+		}
+	}
+	return broken, nil
+}
+
+// oldPort drops a route, and a client then opens a flow on it from a port that it has used
+// before. The earlier flow has been closed by both ends for longer than flowTtlS.
+func oldPort(r *record, trouble bool) ([]string, error) {
+	w, err := startFleet(r, "za", "zb", "zc")
+	if w != nil {
+		defer w.close()
+	}
+	if err != nil {
+		return nil, err
+	}
+	c, err := newClient(r, w.address(kindCaller, 0, portPackets))
+	if err != nil {
+		return nil, err
+	}
+	defer c.close()
+	const ports = 4
+	for i := range w.balancers {
+		for p := range ports {
+			if o := c.request(uint16(2000+100*i+p), dropped, w.address(kindBalancer, i, portPackets), fmt.Sprintf("first-%d-%d", i, p)); o.answer == "" {
+				return nil, fmt.Errorf("%w: no answer before the change", errSetup)
+			}
+		}
+	}
+	ended := time.Now()
+	var acked time.Time
+	if trouble {
+		if acked, err = w.putConfiguration(map[netip.AddrPort]string{kept: "one"}); err != nil {
+			return nil, err
+		}
+	}
+	r.add("waiting until the closed flows are older than flowTtlS")
+	time.Sleep(time.Until(ended.Add(flowTTL + 2*time.Second)))
+	var broken []string
+	for i := range w.balancers {
+		at := w.address(kindBalancer, i, portPackets)
+		if trouble {
+			fresh := c.request(uint16(4000+i), dropped, at, fmt.Sprintf("control-%d", i))
+			broken = append(broken, lateRun(fresh, acked, w.balancers[i].name+" from a fresh port")...)
+		}
+		for p := range ports {
+			o := c.request(uint16(2000+100*i+p), dropped, at, fmt.Sprintf("again-%d-%d", i, p))
+			if !trouble {
+				if !strings.Contains(o.answer, "again") {
+					return nil, fmt.Errorf("%w: a request was not answered without the change", errSetup)
+				}
+				continue
+			}
+			broken = append(broken, lateRun(o, acked, w.balancers[i].name)...)
+		}
+	}
+	return broken, nil
+}
