--- a/review/_harness/cases.go
+++ b/review/_harness/cases.go
@@ -1,9 +1,14 @@
 package main
 
 import (
+	"cmp"
+	"context"
+	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -156,3 +161,105 @@
 	}
 	return broken, nil
 }
+
+// longFlows keeps flows open through all balancers and sends requests on them until the end
+// of the run. It returns the flows that were reset.
+func longFlows(c *client, w *world, perBalancer int, until time.Time) <-chan []string {
+	all := make(chan string)
+	var running sync.WaitGroup
+	for i := range w.balancers {
+		for n := range perBalancer {
+			running.Go(func() {
+				f := c.newFlow(uint16(2000+100*i+n), kept, w.address(kindBalancer, i, portPackets))
+				defer f.forget()
+				if reset := c.serve(f, until); reset != "" {
+					all <- reset
+				}
+			})
+		}
+	}
+	done := make(chan []string, 1)
+	go func() {
+		running.Wait()
+		close(all)
+	}()
+	go func() {
+		var resets []string
+		for r := range all {
+			resets = append(resets, r)
+		}
+		done <- resets
+	}()
+	return done
+}
+
+// serve opens a flow and sends requests on it with pauses. It returns how the flow was reset,
+// or an empty string.
+func (c *client) serve(f *clientFlow, until time.Time) string {
+	if ok, _ := f.open(time.Now()); !ok {
+		c.record.add("client: %s did not open", f.id)
+		return ""
+	}
+	last := ""
+	for n := 0; time.Now().Before(until); n++ {
+		answer, reset := f.ask(fmt.Sprintf("%s-%d", f.id.Caller, n))
+		if reset {
+			c.record.add("client: %s was reset; its last answer: %q", f.id, last)
+			return fmt.Sprintf("FLOW: the open flow %s got a reset that its target did not send; its last answer: %s", f.id, last)
+		}
+		if answer == "" {
+			c.record.add("client: %s got no answer to request %d", f.id, n)
+			continue
+		}
+		last = answer
+		time.Sleep(300*time.Millisecond + rand.N(400*time.Millisecond))
+	}
+	f.end()
+	c.record.add("client: %s closed; its last answer: %q", f.id, last)
+	return ""
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// otherWriter posts a heartbeat of another writer to the agent of a healthy target with open
+// flows. The field address is missing, so the heartbeat names no target to use.
+func otherWriter(r *record, trouble bool) ([]string, error) {
+	w, err := startFleet(r, "za", "zb", "zc")
+	if w != nil {
+		defer w.close()
+	}
+	if err != nil {
+		return nil, err
+	}
+	c, err := newClient(r, w.address(kindCaller, 0, portPackets))
+	if err != nil {
+		return nil, err
+	}
+	defer c.close()
+	start := time.Now()
+	resets := longFlows(c, w, 4, start.Add(2*stableWindow+6*time.Second))
+	time.Sleep(time.Until(start.Add(2 * stableWindow)))
+	if trouble {
+		t := w.targets[0]
+		body, err := json.Marshal(map[string]any{
+			"service": t.service, "zone": t.zone, "version": "v1", "slots": 4, "state": "ready", "coldRemainingMs": 0,
+			"sequence": 1, "born": time.Now().UnixMilli(),
+		})
+		if err != nil {
+			return nil, err
+		}
+		r.add("another writer: posts to the agent beside %s, without the field address: %s", t.id, body)
+		err = t.post(context.Background(), "i-another-writer", body)
+		r.add("another writer: the agent's answer: %s", cmp.Or(errorText(err), "acknowledged"))
+	}
+	broken := <-resets
+	for _, t := range w.targets {
+		r.add("target %s has been alive and undisturbed since its start at %d and has sent no reset", t.id, t.born)
+	}
+	return broken, nil
+}
--- a/review/_harness/client.go
+++ b/review/_harness/client.go
@@ -18,6 +18,9 @@
 	openingTimeout    = 1400 * time.Millisecond
 	retransmitTimeout = 200 * time.Millisecond
 	requestDeadline   = 1200 * time.Millisecond
+	// resetWindow is how far the sequence number of a reset may be from a client's last
+	// acknowledgement.
+	resetWindow = 76_800
 )
 
 // client is one address from which flows are opened.
@@ -79,32 +82,47 @@
 	opened, reset bool
 }
 
-// request opens a flow from a port through a balancer, sends one request and closes the flow.
-func (c *client) request(port uint16, listener, balancer netip.AddrPort, text string) outcome {
+// newFlow returns a flow from a port through a balancer, which is not open yet.
+func (c *client) newFlow(port uint16, listener, balancer netip.AddrPort) *clientFlow {
 	id := segment.Flow{Caller: netip.AddrPortFrom(c.ip, port), Listener: listener}
-	ch := make(chan received, 64)
+	f := &clientFlow{client: c, id: id, balancer: balancer, packets: make(chan received, 64), seq: 1}
 	c.mu.Lock()
-	c.flows[id] = ch
-	c.mu.Unlock()
-	defer func() {
-		c.mu.Lock()
-		delete(c.flows, id)
-		c.mu.Unlock()
-	}()
-	f := &clientFlow{client: c, id: id, balancer: balancer, packets: ch}
+	defer c.mu.Unlock()
+	c.flows[id] = f.packets
+	return f
+}
+
+// request opens a flow from a port through a balancer, sends one request and closes the flow.
+func (c *client) request(port uint16, listener, balancer netip.AddrPort, text string) outcome {
+	f := c.newFlow(port, listener, balancer)
+	defer f.forget()
 	o := outcome{sentAt: time.Now()}
-	c.record.add("client: opens %s through %s for %q", id, balancer.Addr(), text)
-	f.run(text, &o)
+	c.record.add("client: opens %s through %s for %q", f.id, balancer.Addr(), text)
+	if o.opened, o.reset = f.open(o.sentAt); o.opened {
+		o.answer, o.reset = f.ask(text)
+	}
+	if o.answer != "" {
+		f.end()
+	}
 	c.record.add("client: %q ended: opened %v, reset %v, answer %q", text, o.opened, o.reset, o.answer)
 	return o
 }
 
+// clientFlow is the client's end of a flow.
 type clientFlow struct {
 	client   *client
 	id       segment.Flow
 	balancer netip.AddrPort
 	packets  chan received
-	ack      uint32
+	// seq is the next sequence number, ack the next acknowledgement.
+	seq, ack uint32
+	isOpen   bool
+}
+
+func (f *clientFlow) forget() {
+	f.client.mu.Lock()
+	defer f.client.mu.Unlock()
+	delete(f.client.flows, f.id)
 }
 
 func (f *clientFlow) send(s segment.Segment, payload string) {
@@ -113,49 +131,51 @@
 }
 
 // wait waits for a packet that matches, or a reset.
-func (f *clientFlow) wait(until time.Time, match func(received) bool) (ok, reset bool) {
+func (f *clientFlow) wait(until time.Time, match func(received) bool, payload *string) (ok, reset bool) {
 	timeout := time.After(time.Until(until))
 	for {
 		select {
 		case <-timeout:
 			return false, false
 		case p := <-f.packets:
-			if p.segment.Flags.Has(segment.Resets) {
+			if p.segment.Flags.Has(segment.Resets) && f.accepts(p.segment.Seq) {
 				return false, true
 			}
 			if match(p) {
+				*payload = p.payload
 				return true, false
 			}
 		}
 	}
 }
 
-func (f *clientFlow) run(text string, o *outcome) {
-	if o.opened, o.reset = f.open(o.sentAt); !o.opened {
-		return
-	}
-	seq := uint32(1)
+// accepts reports whether a reset with a sequence number ends the flow.
+func (f *clientFlow) accepts(seq uint32) bool {
+	return !f.isOpen || seq-f.ack <= resetWindow || f.ack-seq <= resetWindow
+}
+
+// ask sends a request and returns its answer, or whether the flow was reset.
+func (f *clientFlow) ask(text string) (answer string, reset bool) {
 	deadline := time.Now().Add(requestDeadline)
-	for pause := retransmitTimeout; time.Now().Before(deadline) && o.answer == ""; pause *= 2 {
-		f.send(segment.Segment{Flags: segment.Acks, Seq: seq, Ack: f.ack}, text)
-		_, o.reset = f.wait(time.Now().Add(min(pause, time.Until(deadline))), func(p received) bool {
-			if p.segment.Size > 0 {
-				o.answer = p.payload
-				f.ack = p.segment.Seq + uint32(p.segment.Size)
-			}
-			return p.segment.Size > 0
-		})
-		if o.reset {
-			return
+	for pause := retransmitTimeout; time.Now().Before(deadline); pause *= 2 {
+		f.send(segment.Segment{Flags: segment.Acks, Seq: f.seq, Ack: f.ack}, text)
+		ok, reset := f.wait(time.Now().Add(min(pause, time.Until(deadline))), func(p received) bool {
+			return p.segment.Size > 0 && p.segment.Seq == f.ack
+		}, &answer)
+		if reset {
+			return "", true
+		}
+		if ok {
+			f.seq += uint32(len(text))
+			f.ack += uint32(len(answer))
+			return answer, false
 		}
 	}
-	if o.answer == "" {
-		return
-	}
-	f.end(seq + uint32(len(text)))
+	return "", false
 }
 
 func (f *clientFlow) open(start time.Time) (ok, reset bool) {
+	var none string
 	times := append([]time.Duration{0}, openingCopies...)
 	for i := range times {
 		f.send(segment.Segment{Flags: segment.Opens, Ack: uint32(i)}, "")
@@ -166,8 +186,9 @@
 		ok, reset = f.wait(start.Add(next), func(p received) bool {
 			f.ack = p.segment.Seq + 1
 			return p.segment.Flags.Has(segment.Opens | segment.Acks)
-		})
+		}, &none)
 		if ok || reset {
+			f.isOpen = ok
 			return ok, reset
 		}
 	}
@@ -175,12 +196,13 @@
 }
 
 // end closes the flow from both ends.
-func (f *clientFlow) end(seq uint32) {
+func (f *clientFlow) end() {
+	var none string
 	for range 4 {
-		f.send(segment.Segment{Flags: segment.Acks | segment.Ends, Seq: seq, Ack: f.ack}, "")
-		ok, reset := f.wait(time.Now().Add(retransmitTimeout), func(p received) bool { return p.segment.Flags.Has(segment.Ends) })
+		f.send(segment.Segment{Flags: segment.Acks | segment.Ends, Seq: f.seq, Ack: f.ack}, "")
+		ok, reset := f.wait(time.Now().Add(retransmitTimeout), func(p received) bool { return p.segment.Flags.Has(segment.Ends) }, &none)
 		if ok || reset {
-			f.send(segment.Segment{Flags: segment.Acks, Seq: seq + 1, Ack: f.ack + 1}, "")
+			f.send(segment.Segment{Flags: segment.Acks, Seq: f.seq + 1, Ack: f.ack + 1}, "")
 			return
 		}
 	}
--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	harness silent-store|old-port RECORD
+//	harness silent-store|old-port|other-writer RECORD
 //
 // It exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case could not
 // run. With TROUBLE=0 in the environment the disruption is left out.
@@ -38,11 +38,12 @@
 var cases = map[string]func(*record, bool) (broken []string, err error){
 	"silent-store": silentStore,
 	"old-port":     oldPort,
+	"other-writer": otherWriter,
 }
 
 func run() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: harness silent-store|old-port RECORD")
+		fmt.Fprintln(os.Stderr, "usage: harness silent-store|old-port|other-writer RECORD")
 		return 2
 	}
 	file, err := os.Create(os.Args[2])
--- a/review/_harness/target.go
+++ b/review/_harness/target.go
@@ -74,11 +74,18 @@
 }
 
 type targetFlow struct {
-	seq     uint32
-	open    bool
-	ended   bool
-	started bool
-	answer  []byte
+	seq   uint32
+	open  bool
+	ended bool
+	// sent counts the bytes answered, and answers has them by the sequence number of the
+	// request, for requests that are sent again. An answer is nil while its request runs.
+	sent    uint32
+	answers map[uint32]*answer
+}
+
+type answer struct {
+	seq  uint32
+	text []byte
 }
 
 func startTarget(r *record, s targetSettings) (*target, error) {
@@ -112,7 +119,7 @@
 func (t *target) beat(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause := heartbeat
-		if t.post(ctx, t.nextBeat()) != nil {
+		if t.post(ctx, t.id, t.nextBeat()) != nil {
 			pause = 100 * time.Millisecond
 		}
 		select {
@@ -134,8 +141,9 @@
 	return body
 }
 
-func (t *target) post(ctx context.Context, body []byte) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+t.control.String()+"/api/Instances.Heartbeat/"+t.id, bytes.NewReader(body))
+// post sends a heartbeat of an id to the agent beside the target.
+func (t *target) post(ctx context.Context, id string, body []byte) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+t.control.String()+"/api/Instances.Heartbeat/"+id, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -173,7 +181,7 @@
 	f := t.flows[id]
 	if s.Opening() {
 		if f == nil || f.ended {
-			f = &targetFlow{seq: rand.Uint32()}
+			f = &targetFlow{seq: rand.Uint32(), answers: map[uint32]*answer{}}
 			t.flows[id] = f
 			t.record.add("target %s (%s): takes the opening packet of %s", t.id, t.service, id)
 		}
@@ -193,30 +201,33 @@
 	switch {
 	case s.Flags.Has(segment.Ends):
 		f.ended = true
-		t.reply(id, segment.Segment{Flags: segment.Acks | segment.Ends, Seq: f.seq + 1 + uint32(len(f.answer)), Ack: s.Seq + 1}, nil)
+		t.reply(id, segment.Segment{Flags: segment.Acks | segment.Ends, Seq: f.seq + 1 + f.sent, Ack: s.Seq + 1}, nil)
 	case s.Size > 0:
 		t.request(id, f, s, packet[headerSize:])
 	}
 }
 
-// request runs the request of a flow once.
+// request runs a request of a flow once, however often it is sent.
 func (t *target) request(id segment.Flow, f *targetFlow, s *segment.Segment, payload []byte) {
-	if f.answer != nil {
-		t.reply(id, segment.Segment{Flags: segment.Acks, Seq: f.seq + 1, Ack: s.Seq + uint32(s.Size)}, f.answer)
-		return
+	ack := s.Seq + uint32(s.Size)
+	a, known := f.answers[s.Seq]
+	if a != nil {
+		t.reply(id, segment.Segment{Flags: segment.Acks, Seq: a.seq, Ack: ack}, a.text)
 	}
-	if f.started {
+	if known {
 		return
 	}
-	f.started = true
+	f.answers[s.Seq] = nil
 	t.record.add("target %s (%s): runs %q", t.id, t.service, payload)
 	text := fmt.Sprintf("answer of %s (%s) to %s", t.id, t.service, payload)
-	ack := s.Seq + uint32(s.Size)
+	at := s.Seq
 	time.AfterFunc(workTime, func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		f.answer = []byte(text)
-		t.reply(id, segment.Segment{Flags: segment.Acks, Seq: f.seq + 1, Ack: ack}, f.answer)
+		a := &answer{seq: f.seq + 1 + f.sent, text: []byte(text)}
+		f.answers[at] = a
+		f.sent += uint32(len(a.text))
+		t.reply(id, segment.Segment{Flags: segment.Acks, Seq: a.seq, Ack: ack}, a.text)
 	})
 }
 
