--- a/review/_harness/cases.go
+++ b/review/_harness/cases.go
@@ -95,33 +95,46 @@
 	if err != nil {
 		return nil, err
 	}
+	broken := askServed(c, w, served, acked, began.Add(silence))
+	time.Sleep(time.Until(began.Add(silence)))
+	for i := range 3 {
+		w.storeProxies[i].setSilent(false)
+	}
+	r.add("the store serves all balancers")
+	time.Sleep(3 * time.Second)
+	w.recordLogs(`"event":"watch"`, `"event":"version"`)
+	return broken, nil
+}
+
+// askServed sends requests on the dropped route through the served balancers until the silence
+// ends, and returns how the rule was broken.
+func askServed(c *client, w *world, served []int, acked, end time.Time) (broken []string) {
 	const bound = configApply + maxSkew
-	ask := func(n int) (broken []string) {
+	ask := func(n int) {
 		for _, i := range served {
 			o := c.request(uint16(3000+10*n+i), dropped, w.address(kindBalancer, i, portPackets), fmt.Sprintf("after-%d", n))
 			broken = append(broken, lateRun(o, acked, bound, w.balancers[i].name+", which the store serves")...)
 		}
-		return broken
 	}
 	time.Sleep(time.Until(acked.Add(configApply + 500*time.Millisecond)))
-	broken := ask(0)
+	ask(0)
 	time.Sleep(time.Until(acked.Add(bound + 100*time.Millisecond)))
-	for n := 1; time.Since(began) < silence-300*time.Millisecond; n++ {
-		broken = append(broken, ask(n)...)
+	for n := 1; time.Until(end) > 300*time.Millisecond; n++ {
+		ask(n)
 		time.Sleep(400 * time.Millisecond)
 	}
-	time.Sleep(time.Until(began.Add(silence)))
-	for i := range 3 {
-		w.storeProxies[i].setSilent(false)
-	}
-	r.add("the store serves all balancers")
-	time.Sleep(3 * time.Second)
+	return broken
+}
+
+// recordLogs records the lines of the balancers' logs that hold one of the words.
+func (w *world) recordLogs(words ...string) {
 	for i, b := range w.balancers {
-		for _, line := range append(b.events(`"event":"watch"`), b.events(`"event":"version"`)...) {
-			r.add("log of balancer %d: %s", i, line)
+		for _, word := range words {
+			for _, line := range b.events(word) {
+				w.record.add("log of balancer %d: %s", i, line)
+			}
 		}
 	}
-	return broken, nil
 }
 
 // oldPort drops a route, and a client then opens a flow on it from a port that it has used
--- a/review/_harness/world.go
+++ b/review/_harness/world.go
@@ -1,19 +1,14 @@
 package main
 
 import (
-	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strings"
-	"sync"
-	"syscall"
 	"time"
 
 	"github.com/wagtailtray/wagtailtray/platform/standin"
@@ -205,12 +200,7 @@
 	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		ready := 0
 		for i := range w.balancers {
-			res, err := client.Get("http://" + w.address(kindBalancer, i, portReady).String() + "/api/readyz")
-			if err != nil {
-				continue
-			}
-			_ = res.Body.Close()
-			if res.StatusCode == http.StatusOK {
+			if w.isReady(client, i) {
 				ready++
 			}
 		}
@@ -222,6 +212,21 @@
 	return fmt.Errorf("%w: not all balancers became ready", errSetup)
 }
 
+// isReady probes a balancer as the platform's routers do.
+func (w *world) isReady(client *http.Client, balancer int) bool {
+	url := "http://" + w.address(kindBalancer, balancer, portReady).String() + "/api/readyz"
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, url, nil)
+	if err != nil {
+		return false
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
 // close ends all processes that the run started and removes its folder.
 func (w *world) close() {
 	for _, t := range w.targets {
@@ -236,216 +241,3 @@
 	}
 	_ = os.RemoveAll(w.folder)
 }
-
-// process is a program of the deploy file that is started again whenever it ends.
-type process struct {
-	name     string
-	program  string
-	role     string
-	settings string
-	log      *os.File
-
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	exited  chan struct{}
-	closing bool
-}
-
-// processes are those that this run started, to end them whatever happens.
-type processes struct {
-	mu  sync.Mutex
-	all []*process
-}
-
-var started processes
-
-func (ps *processes) add(p *process) {
-	ps.mu.Lock()
-	defer ps.mu.Unlock()
-	ps.all = append(ps.all, p)
-}
-
-// end kills all processes that this run started.
-func (ps *processes) end() {
-	ps.mu.Lock()
-	defer ps.mu.Unlock()
-	for _, p := range ps.all {
-		p.close()
-	}
-	ps.all = nil
-}
-
-func (w *world) start(role, settings string) (*process, error) {
-	name := fmt.Sprintf("%s-%d", role, len(w.balancers)+len(w.agents))
-	p := &process{name: name, program: w.program, role: role, settings: filepath.Join(w.folder, name+".toml")}
-	if err := os.WriteFile(p.settings, []byte(settings), 0o600); err != nil {
-		return nil, err
-	}
-	log, err := os.Create(filepath.Join(w.folder, name+".log"))
-	if err != nil {
-		return nil, err
-	}
-	p.log = log
-	started.add(p)
-	return p, p.run()
-}
-
-func (p *process) run() error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.closing {
-		return nil
-	}
-	cmd := exec.Command(p.program, p.role) //nolint:noctx // it is ended by close
-	cmd.Env = append(os.Environ(), "WAGTAILTRAY_BOOT="+p.settings)
-	cmd.Stdout, cmd.Stderr = p.log, p.log
-	if err := cmd.Start(); err != nil {
-		return err
-	}
-	p.cmd, p.exited = cmd, make(chan struct{})
-	go p.restart(cmd, p.exited)
-	return nil
-}
-
-func (p *process) restart(cmd *exec.Cmd, exited chan struct{}) {
-	_ = cmd.Wait()
-	close(exited)
-	time.Sleep(restartDelay)
-	_ = p.run()
-}
-
-// terminate sends SIGTERM and waits for the process to end, for graceTime at most.
-func (p *process) terminate() {
-	p.mu.Lock()
-	cmd, exited := p.cmd, p.exited
-	p.mu.Unlock()
-	_ = cmd.Process.Signal(syscall.SIGTERM)
-	select {
-	case <-exited:
-	case <-time.After(graceTime):
-		_ = cmd.Process.Kill()
-		<-exited
-	}
-}
-
-// close kills the process for good.
-func (p *process) close() {
-	p.mu.Lock()
-	p.closing = true
-	cmd, exited := p.cmd, p.exited
-	p.mu.Unlock()
-	if cmd != nil {
-		_ = cmd.Process.Kill()
-		<-exited
-	}
-	_ = p.log.Close()
-}
-
-// events returns the lines of the process's log that hold a word.
-func (p *process) events(word string) []string {
-	file, err := os.Open(p.log.Name())
-	if err != nil {
-		return nil
-	}
-	defer func() { _ = file.Close() }()
-	var all []string
-	for s := bufio.NewScanner(file); s.Scan(); {
-		if strings.Contains(s.Text(), word) {
-			all = append(all, s.Text())
-		}
-	}
-	return all
-}
-
-// proxy is a TCP proxy. While it is silent it drops all data in both directions and keeps
-// the connections open; a connection that has lost data stays silent for good.
-type proxy struct {
-	address  netip.AddrPort
-	backend  netip.AddrPort
-	listener net.Listener
-
-	mu     sync.Mutex
-	silent bool
-	conns  map[net.Conn]bool
-	lost   map[net.Conn]bool
-}
-
-func newProxy(address, backend netip.AddrPort) (*proxy, error) {
-	l, err := standin.ListenTCP(address)
-	if err != nil {
-		return nil, err
-	}
-	p := &proxy{address: address, backend: backend, listener: l, conns: map[net.Conn]bool{}, lost: map[net.Conn]bool{}}
-	go p.serve()
-	return p, nil
-}
-
-func (p *proxy) serve() {
-	for {
-		in, err := p.listener.Accept()
-		if err != nil {
-			return
-		}
-		out, err := net.DialTCP("tcp4", nil, net.TCPAddrFromAddrPort(p.backend))
-		if err != nil {
-			_ = in.Close()
-			continue
-		}
-		p.mu.Lock()
-		p.conns[in], p.conns[out] = true, true
-		p.mu.Unlock()
-		go p.copy(in, out)
-		go p.copy(out, in)
-	}
-}
-
-func (p *proxy) copy(from, to net.Conn) {
-	defer func() {
-		_, _ = from.Close(), to.Close()
-		p.mu.Lock()
-		delete(p.conns, from)
-		delete(p.lost, from)
-		p.mu.Unlock()
-	}()
-	b := make([]byte, 64<<10)
-	for {
-		n, err := from.Read(b)
-		if n > 0 && !p.drops(from, to) {
-			if _, err := to.Write(b[:n]); err != nil {
-				return
-			}
-		}
-		if err != nil {
-			return
-		}
-	}
-}
-
-func (p *proxy) drops(from, to net.Conn) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.silent {
-		p.lost[from], p.lost[to] = true, true
-	}
-	return p.lost[from]
-}
-
-// setSilent makes the proxy silent, or not. Connections that were open while it was silent
-// are reset when it ends, as by a store that serves the machine again.
-func (p *proxy) setSilent(on bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.silent = on
-	if on {
-		return
-	}
-	for c := range p.conns {
-		_ = c.(*net.TCPConn).SetLinger(0)
-		_ = c.Close()
-	}
-}
-
-func (p *proxy) close() {
-	_ = p.listener.Close()
-	p.setSilent(false)
-}
