review: case 1, balancers that replace all others reset flows of live targets

Cause: a balancer counts as knowing all targets of its failure domain 2.2 s after its start, whether an agent has reported or not. Balancers that know each other settle with no target, and when the first agents find them they reset the flows of all other targets.

--- a/review/_harness/cases.go
+++ b/review/_harness/cases.go
@@ -37,23 +37,28 @@
 	if err != nil {
 		return nil, err
 	}
+	return w, w.startFleet()
+}
+
+// startFleet starts the machines of a world and waits until all are in touch.
+func (w *world) startFleet() error {
 	if _, err := w.putConfiguration(map[netip.AddrPort]string{kept: "one", dropped: "one"}); err != nil {
-		return w, err
+		return err
 	}
 	if err := w.startBalancers(); err != nil {
-		return w, err
+		return err
 	}
-	for _, zone := range uniq(zones) {
+	for _, zone := range uniq(w.zones) {
 		if err := w.startTarget(zone, "one"); err != nil {
-			return w, err
+			return err
 		}
 	}
 	if err := w.waitReady(); err != nil {
-		return w, err
+		return err
 	}
 	// All machines are in touch, and the balancers have agreed on who watches the store.
 	time.Sleep(2*stableWindow + 2*time.Second)
-	return w, nil
+	return nil
 }
 
 // silence is how long the store is silent towards some balancers: twice the largest dose of
--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	harness silent-store|old-port|other-writer RECORD
+//	harness CASE RECORD
 //
 // It exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case could not
 // run. With TROUBLE=0 in the environment the disruption is left out.
@@ -39,11 +39,12 @@
 	"silent-store": silentStore,
 	"old-port":     oldPort,
 	"other-writer": otherWriter,
+	"replaced":     replacedBalancers,
 }
 
 func run() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: harness silent-store|old-port|other-writer RECORD")
+		fmt.Fprintln(os.Stderr, "usage: harness CASE RECORD")
 		return 2
 	}
 	file, err := os.Create(os.Args[2])
--- a/review/_harness/process.go
+++ b/review/_harness/process.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -88,6 +89,27 @@
 	_ = p.run()
 }
 
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.cmd.Process.Signal(s)
+}
+
+// leave stops the process as planned. It is not started again.
+func (p *process) leave() {
+	p.mu.Lock()
+	p.closing = true
+	exited := p.exited
+	p.mu.Unlock()
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-exited:
+	case <-time.After(graceTime):
+		p.signal(syscall.SIGKILL)
+		<-exited
+	}
+}
+
 // close kills the process for good.
 func (p *process) close() {
 	p.mu.Lock()
--- a/review/_harness/world.go
+++ b/review/_harness/world.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/wagtailtray/wagtailtray/platform/standin"
@@ -44,6 +45,9 @@
 	heartbeat    = 1200 * time.Millisecond
 )
 
+// maxSeeds is how many seeds the settings name.
+const maxSeeds = 3
+
 // readyTimeout bounds the start of all balancers.
 const readyTimeout = 20 * time.Second
 
@@ -60,6 +64,10 @@
 	network byte
 	zones   []string
 	store   *standin.Store
+	// storeAddress is where the machines reach the store, and firstSeed the index of the first
+	// balancer that the settings name as a seed.
+	storeAddress netip.AddrPort
+	firstSeed    int
 	// storeProxies are the paths of the balancers to the store, in their order.
 	storeProxies []*proxy
 	balancers    []*process
@@ -78,6 +86,7 @@
 	for range 50 {
 		w.network = byte(20 + rand.IntN(200))
 		if w.store, err = standin.StartStore(w.address(kindStore, 0, portStore)); err == nil {
+			w.storeAddress = w.store.Address
 			return w, nil
 		}
 	}
@@ -119,10 +128,8 @@
 // settings returns the settings file of a machine.
 func (w *world) settings(class string, kind, index int, zone, service string, store netip.AddrPort) string {
 	seeds := []string{}
-	for i := range w.zones {
-		if i < 3 {
-			seeds = append(seeds, fmt.Sprintf("%q", w.address(kindBalancer, i, portControl).String()))
-		}
+	for i := range maxSeeds {
+		seeds = append(seeds, fmt.Sprintf("%q", w.address(kindBalancer, w.firstSeed+i, portControl).String()))
 	}
 	var b strings.Builder
 	fmt.Fprintf(&b, "nodeName = %q\nrole = %q\nmachineClass = %q\nip = %q\nzone = %q\nregion = \"r\"\n",
@@ -160,8 +167,9 @@
 // startBalancers starts one balancer for each entry of zones, each with a path of its own
 // to the store.
 func (w *world) startBalancers() error {
-	for i, zone := range w.zones {
-		p, err := newProxy(w.address(kindStore, i+1, portStore), w.store.Address)
+	for _, zone := range w.zones {
+		i := len(w.balancers)
+		p, err := newProxy(w.address(kindStore, i+1, portStore), w.storeAddress)
 		if err != nil {
 			return err
 		}
@@ -175,10 +183,22 @@
 	return nil
 }
 
+// newSeeds writes the settings of an agent anew, with the present seeds, and notifies it.
+func (w *world) newSeeds(i int) error {
+	t, p := w.targets[i], w.agents[i]
+	settings := w.settings("side", kindAgent, i, t.zone, t.service, w.storeAddress)
+	if err := os.WriteFile(p.settings, []byte(settings), 0o600); err != nil {
+		return err
+	}
+	w.record.add("the settings of %s name the new seeds; SIGHUP", p.name)
+	p.signal(syscall.SIGHUP)
+	return nil
+}
+
 // startTarget starts a target of a service with its agent.
 func (w *world) startTarget(zone, service string) error {
 	i := len(w.targets)
-	a, err := w.start("agent", w.settings("side", kindAgent, i, zone, service, w.store.Address))
+	a, err := w.start("agent", w.settings("side", kindAgent, i, zone, service, w.storeAddress))
 	if err != nil {
 		return err
 	}
