--- a/review/_harness/cases.go
+++ b/review/_harness/cases.go
@@ -77,14 +77,14 @@
 	if err != nil {
 		return nil, err
 	}
-	c, err := newClient(r, w.address(kindCaller, 0, portPackets))
+	c, err := newCallers(w)
 	if err != nil {
 		return nil, err
 	}
 	defer c.close()
 	served := []int{3, 4, 5}
 	for _, i := range served {
-		if o := c.request(uint16(2000+i), dropped, w.address(kindBalancer, i, portPackets), "before"); o.answer == "" {
+		if o := c.of(i).request(uint16(2000+i), dropped, w.address(kindBalancer, i, portPackets), "before"); o.answer == "" {
 			return nil, fmt.Errorf("%w: no answer before the trouble", errSetup)
 		}
 	}
@@ -113,11 +113,11 @@
 
 // askServed sends requests on the dropped route through the served balancers until the silence
 // ends, and returns how the rule was broken.
-func askServed(c *client, w *world, served []int, acked, end time.Time) (broken []string) {
+func askServed(c callers, w *world, served []int, acked, end time.Time) (broken []string) {
 	const bound = configApply + maxSkew
 	ask := func(n int) {
 		for _, i := range served {
-			o := c.request(uint16(3000+10*n+i), dropped, w.address(kindBalancer, i, portPackets), fmt.Sprintf("after-%d", n))
+			o := c.of(i).request(uint16(3000+10*n+i), dropped, w.address(kindBalancer, i, portPackets), fmt.Sprintf("after-%d", n))
 			broken = append(broken, lateRun(o, acked, bound, w.balancers[i].name+", which the store serves")...)
 		}
 	}
@@ -152,7 +152,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c, err := newClient(r, w.address(kindCaller, 0, portPackets))
+	c, err := newCallers(w)
 	if err != nil {
 		return nil, err
 	}
@@ -160,7 +160,7 @@
 	const ports = 4
 	for i := range w.balancers {
 		for p := range ports {
-			if o := c.request(uint16(2000+100*i+p), dropped, w.address(kindBalancer, i, portPackets), fmt.Sprintf("first-%d-%d", i, p)); o.answer == "" {
+			if o := c.of(i).request(uint16(2000+100*i+p), dropped, w.address(kindBalancer, i, portPackets), fmt.Sprintf("first-%d-%d", i, p)); o.answer == "" {
 				return nil, fmt.Errorf("%w: no answer before the change", errSetup)
 			}
 		}
@@ -178,11 +178,11 @@
 	for i := range w.balancers {
 		at := w.address(kindBalancer, i, portPackets)
 		if trouble {
-			fresh := c.request(uint16(4000+i), dropped, at, fmt.Sprintf("control-%d", i))
+			fresh := c.of(i).request(uint16(4000+i), dropped, at, fmt.Sprintf("control-%d", i))
 			broken = append(broken, lateRun(fresh, acked, configApply, w.balancers[i].name+" from a fresh port")...)
 		}
 		for p := range ports {
-			o := c.request(uint16(2000+100*i+p), dropped, at, fmt.Sprintf("again-%d-%d", i, p))
+			o := c.of(i).request(uint16(2000+100*i+p), dropped, at, fmt.Sprintf("again-%d-%d", i, p))
 			if !trouble {
 				if !strings.Contains(o.answer, "again") {
 					return nil, fmt.Errorf("%w: a request was not answered without the change", errSetup)
@@ -197,15 +197,15 @@
 
 // longFlows keeps flows open through all balancers and sends requests on them until the end
 // of the run. It returns the flows that were reset.
-func longFlows(c *client, w *world, perBalancer int, until time.Time) <-chan []string {
+func longFlows(c callers, w *world, perBalancer int, until time.Time) <-chan []string {
 	all := make(chan string)
 	var running sync.WaitGroup
 	for i := range w.balancers {
 		for n := range perBalancer {
 			running.Go(func() {
-				f := c.newFlow(uint16(2000+100*i+n), kept, w.address(kindBalancer, i, portPackets))
+				f := c.of(i).newFlow(uint16(2000+100*i+n), kept, w.address(kindBalancer, i, portPackets))
 				defer f.forget()
-				if reset := c.serve(f, until); reset != "" {
+				if reset := c.of(i).serve(f, until); reset != "" {
 					all <- reset
 				}
 			})
@@ -269,7 +269,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c, err := newClient(r, w.address(kindCaller, 0, portPackets))
+	c, err := newCallers(w)
 	if err != nil {
 		return nil, err
 	}
--- a/review/_harness/client.go
+++ b/review/_harness/client.go
@@ -48,6 +48,35 @@
 	return c, nil
 }
 
+// callers are clients, one in each zone: routers send a client's packets to balancers of its
+// own zone.
+type callers []*client
+
+// newCallers returns a client for each zone of a world.
+func newCallers(w *world) (callers, error) {
+	var all callers
+	for i := range uniq(w.zones) {
+		c, err := newClient(w.record, w.address(kindCaller, i, portPackets))
+		if err != nil {
+			all.close()
+			return nil, err
+		}
+		all = append(all, c)
+	}
+	return all, nil
+}
+
+// of returns the client in the zone of a balancer. Balancers go round the zones.
+func (cs callers) of(balancer int) *client {
+	return cs[balancer%len(cs)]
+}
+
+func (cs callers) close() {
+	for _, c := range cs {
+		c.close()
+	}
+}
+
 func (c *client) close() {
 	_ = c.conn.Close()
 }
--- a/review/_harness/replaced.go
+++ b/review/_harness/replaced.go
@@ -8,16 +8,16 @@
 
 // pausedFlows are flows that pause while something happens.
 type pausedFlows struct {
-	client *client
-	all    []*clientFlow
-	last   map[*clientFlow]string
+	all  []*clientFlow
+	last map[*clientFlow]string
 }
 
 // openPaused opens flows through the balancers in turn and sends a request on each.
-func openPaused(c *client, w *world, count int) (*pausedFlows, error) {
-	p := &pausedFlows{client: c, last: map[*clientFlow]string{}}
+func openPaused(c callers, w *world, count int) (*pausedFlows, error) {
+	p := &pausedFlows{last: map[*clientFlow]string{}}
 	for n := range count {
-		f := c.newFlow(uint16(2000+n), kept, w.address(kindBalancer, n%len(w.balancers), portPackets))
+		i := n % len(w.balancers)
+		f := c.of(i).newFlow(uint16(2000+n), kept, w.address(kindBalancer, i, portPackets))
 		if ok, _ := f.open(time.Now()); !ok {
 			return nil, fmt.Errorf("%w: a flow did not open", errSetup)
 		}
@@ -40,7 +40,7 @@
 		f.balancer = w.address(kindBalancer, balancers[n%len(balancers)], portPackets)
 		running.Go(func() {
 			answer, reset := f.ask(fmt.Sprintf("after-%d", n))
-			p.client.record.add("client: %s through %s: answer %q, reset %v", f.id, f.balancer.Addr(), answer, reset)
+			w.record.add("client: %s through %s: answer %q, reset %v", f.id, f.balancer.Addr(), answer, reset)
 			if !reset {
 				return
 			}
@@ -55,7 +55,7 @@
 
 const (
 	// seedDelay is how long after the start of the new balancers the first agent learns of
-	// them, and seedSpread how much later the others do. On the bench it is 5.5 to 7.5 s.
+	// them, and seedSpread how much later the others do. On the bench it is 6 to 8 s.
 	seedDelay  = 5500 * time.Millisecond
 	seedSpread = 2 * time.Second
 )
@@ -77,7 +77,7 @@
 	if err := w.startFleet(); err != nil {
 		return nil, err
 	}
-	c, err := newClient(r, w.address(kindCaller, 0, portPackets))
+	c, err := newCallers(w)
 	if err != nil {
 		return nil, err
 	}
