Classes of requests: read from the configuration, carried with each opening

Cause: the operator's configuration names for each route a type, an objective, a time limit and a priority. The adapter read none of them, so no decision knew whose packet it has.

A listener has a class now: priority, repeatable or not, objective, limit. A mistake in one leaves its route without a class and is logged when the version comes into force; a configuration that the store has acknowledged must not wait for it. The class goes with the opening to the agent, which keeps the last one of each listener (bounded), so that a flow's packets carry nothing more. Agents also report the mean time that the target works on a request without its wait (slot time in use divided by answers) and the requests in progress.

Nothing decides by these yet. Ruled out: the class in every parcel (bytes for each packet, for what an agent learns again with the next opening).

--- a/internal/connection/stream/load.go
+++ b/internal/connection/stream/load.go
@@ -65,6 +65,7 @@
 		}
 		busy++
 	}
+	tr.work.addSample(min(busy, tr.upstream.slots), now.Sub(tr.lastSample))
 	weight := min(float64(now.Sub(tr.lastSample))/float64(loadWindow), 1)
 	tr.load += (float64(busy) - tr.load) * weight
 	tr.lastSample = now
--- a/internal/connection/stream/opening.go
+++ b/internal/connection/stream/opening.go
@@ -33,7 +33,7 @@
 		s.flows.Add(id, f)
 	}
 	f.lastSeen, f.ended, f.inherited = now, false, false
-	f.service, f.homeRegions = service, s.table.HomeRegions(id)
+	f.service, f.homeRegions, f.class = service, s.table.HomeRegions(id), s.table.Class(id)
 	if f.search == nil {
 		f.answers = nil
 	}
@@ -52,7 +52,7 @@
 		return false
 	}
 	f.lastSeen = now
-	s.out.send(agent, s.openParcel(f.service, packet))
+	s.out.send(agent, s.openParcel(f, packet))
 	return true
 }
 
@@ -71,9 +71,10 @@
 	return service, err
 }
 
-func (s *Steerer) openParcel(service string, packet []byte) *wire.Parcel {
+func (s *Steerer) openParcel(f *flow, packet []byte) *wire.Parcel {
 	return &wire.Parcel{
-		Verb: wire.Verb_VERB_OPEN, Service: service, Packet: packet, Warming: uint32(s.warmingRate(service)),
+		Verb: wire.Verb_VERB_OPEN, Service: f.service, Packet: packet, Warming: uint32(s.warmingRate(f.service)),
+		Class: encodeClass(f.class),
 	}
 }
 
@@ -87,7 +88,7 @@
 }
 
 func (s *Steerer) demand(f *flow) PlacementRequest {
-	return PlacementRequest{Service: f.service, HomeRegions: f.homeRegions, WarmingRate: s.warmingRate(f.service), Tried: f.tried}
+	return PlacementRequest{Service: f.service, HomeRegions: f.homeRegions, WarmingRate: s.warmingRate(f.service), Class: f.class, Tried: f.tried}
 }
 
 // placeOpening sends an opening packet to the target of lowest cost that was not tried yet.
@@ -108,7 +109,7 @@
 		Kind: kind, Flow: id, Target: t.Address, Name: t.Name, Service: f.service, Age: now.Sub(t.HeardAt),
 		Count: len(f.tried), Version: s.version(),
 	})
-	s.out.send(t.Address, s.openParcel(f.service, packet))
+	s.out.send(t.Address, s.openParcel(f, packet))
 }
 
 // handleUnplaced handles an opening packet for which no target is left.
@@ -170,7 +171,7 @@
 			Kind: Reopened, Flow: id, Target: a, Name: t.Name, Service: f.service, Reason: "no other target",
 			Age: now.Sub(t.HeardAt), Count: len(f.tried), Version: s.version(),
 		})
-		s.out.send(a, s.openParcel(f.service, packet))
+		s.out.send(a, s.openParcel(f, packet))
 	}
 }
 
--- a/internal/connection/stream/placement.go
+++ b/internal/connection/stream/placement.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/wagtailtray/wagtailtray/internal/version/evacuation"
+	"github.com/wagtailtray/wagtailtray/internal/version/routing"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
 	"github.com/wagtailtray/wagtailtray/pkg/wire"
 )
@@ -17,6 +18,8 @@
 	// WarmingRate is the number of openings a second that a target of the service accepts
 	// while it is slow after its start; zero for no limit.
 	WarmingRate int
+	// Class describes the flow's requests; nil if it is not known.
+	Class *routing.Class
 	// Tried are the agents to which the opening was already sent.
 	Tried []netip.AddrPort
 }
--- a/internal/connection/stream/report.go
+++ b/internal/connection/stream/report.go
@@ -17,6 +17,9 @@
 // some tens of requests, a second of a busy target.
 const latencyWeight = 0.05
 
+// microsPerMilli converts milliseconds to the unit of the work in reports.
+const microsPerMilli = 1000
+
 // ConditionChanged reports whether the target's condition has changed since the last call.
 // Balancers must be notified at once, since it decides whether they send new flows.
 func (tr *Tracker) ConditionChanged(now clock.Millis) bool {
@@ -34,6 +37,7 @@
 func (tr *Tracker) recordRequestEnd(now clock.Millis, id segment.Flow, f *trackedFlow, answered bool) {
 	u := &tr.upstream
 	if answered {
+		tr.work.addAnswer()
 		tr.recordLatency(now.Sub(f.busySince))
 		if u.outlier.recordSuccess(now) {
 			tr.recordCondition(now, "answers again")
@@ -88,6 +92,7 @@
 		Slots: uint32(u.slots), Flows: uint32(tr.activeFlows), Busy: uint32(tr.load * busyScale),
 		Cold: uint32(max(u.coldUntil.Sub(now), 0)), Restarting: tr.stopping, Probe: probe,
 		Room: uint32(room), Serving: uint32(math.Ceil(tr.meanLatency)),
+		Work: uint32(tr.work.mean() * microsPerMilli), Running: uint32(len(tr.busyFlows)) + 1,
 	}
 }
 
--- a/internal/connection/stream/steer.go
+++ b/internal/connection/stream/steer.go
@@ -39,6 +39,8 @@
 	service string
 	// homeRegions are the regions in which it may be opened; any if empty.
 	homeRegions []string
+	// class describes its requests; nil if it is not known.
+	class *routing.Class
 	// tried lists the agents that the opening packet was sent to; pending counts
 	// those that have not answered.
 	tried   []netip.AddrPort
--- a/internal/connection/stream/summary.go
+++ b/internal/connection/stream/summary.go
@@ -73,7 +73,7 @@
 		Name: t.Name, Service: t.Service, Epoch: t.Epoch, Sequence: t.Sequence, Born: t.Born,
 		Condition: t.Condition, Slots: uint32(t.Slots), Flows: uint32(t.Flows), Busy: uint32(t.Busy * busyScale),
 		Cold: uint32(max(t.ColdUntil.Sub(now), 0)), Restarting: t.Restarting, Room: uint32(t.room),
-		Serving: uint32(t.MeanLatency),
+		Serving: uint32(t.MeanLatency), Work: uint32(t.Work * microsPerMilli), Running: t.encodeRunning(),
 	}
 }
 
--- a/internal/connection/stream/target.go
+++ b/internal/connection/stream/target.go
@@ -39,6 +39,13 @@
 	Busy float64
 	// MeanLatency is the mean latency of a request, or zero if unknown.
 	MeanLatency clock.Millis
+	// Work is the mean time in milliseconds that the target works on a request, without
+	// the time that the request waits there; zero if unknown.
+	Work float64
+	// Running is the number of requests in progress when the report was made, and
+	// RunningKnown is set if the agent reports it.
+	Running      int
+	RunningKnown bool
 	// ColdUntil is when the target reaches its full speed.
 	ColdUntil clock.Millis
 	// Restarting is set if the agent announced its stop.
@@ -130,6 +137,8 @@
 	t.Condition = r.Condition
 	t.Slots, t.Flows, t.Busy = int(r.Slots), int(r.Flows), float64(r.Busy)/busyScale
 	t.MeanLatency = clock.Millis(r.Serving)
+	t.Work = float64(r.Work) / microsPerMilli
+	t.Running, t.RunningKnown = max(int(r.Running)-1, 0), r.Running > 0
 	t.ColdUntil = now + clock.Millis(r.Cold)
 	t.Restarting = r.Restarting
 	t.HeardAt = now
@@ -137,3 +146,11 @@
 	t.room = int(r.Room)
 	t.unansweredSince, t.unresponsiveAt = 0, 0
 }
+
+// encodeRunning returns the requests in progress as in a report.
+func (t *Target) encodeRunning() uint32 {
+	if !t.RunningKnown {
+		return 0
+	}
+	return uint32(t.Running) + 1
+}
--- a/internal/connection/stream/tracker.go
+++ b/internal/connection/stream/tracker.go
@@ -95,12 +95,16 @@
 	lastSample clock.Millis
 	// meanLatency is the mean latency of a request in milliseconds.
 	meanLatency float64
-	out         Outcome
+	// work measures the time that the target works on a request.
+	work workMeter
+	// classes are those of the listeners whose flows are opened here.
+	classes classes
+	out     Outcome
 }
 
 // NewTracker returns a Tracker without any state of its target.
 func NewTracker(now clock.Millis, settings TrackerSettings) *Tracker {
-	tr := &Tracker{settings: settings, startedAt: now, busyFlows: map[segment.Flow]*trackedFlow{}}
+	tr := &Tracker{settings: settings, startedAt: now, busyFlows: map[segment.Flow]*trackedFlow{}, classes: classes{}}
 	tr.checkpoints = checkpointState{enabled: settings.Checkpoint, sender: checkpoint.NewSender()}
 	tr.flows, _ = simplelru.NewLRU(max(settings.MaxFlows, 1), func(id segment.Flow, _ *trackedFlow) { delete(tr.busyFlows, id) })
 	tr.denied, _ = simplelru.NewLRU[segment.Flow, struct{}](max(settings.MaxFlows, 1), nil)
@@ -145,6 +149,7 @@
 		return
 	}
 	id := seg.FromCaller()
+	tr.classes.learn(id.Listener, p.Class)
 	f, ok := tr.flows.Get(id)
 	if ok && f.endedAt != 0 {
 		ok = false
--- /dev/null
+++ b/internal/connection/stream/work.go
@@ -0,0 +1,44 @@
+package stream
+
+import (
+	"math"
+
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+)
+
+// workWindow is the time over which the mean work of a request is measured: some tens of
+// requests of a busy target.
+const workWindow = 2 * clock.Second
+
+// workMeter measures the mean time that a target works on a request, without the time that
+// requests wait there: the time for which its slots were in use, divided by the requests that
+// it answered.
+type workMeter struct {
+	// slotTime is the slot time in use in milliseconds and answered the number of answers,
+	// both exponentially decayed.
+	slotTime float64
+	answered float64
+}
+
+// addSample adds the slots in use during the last period.
+func (m *workMeter) addSample(slotsInUse int, period clock.Millis) {
+	decay := math.Exp(-float64(period) / float64(workWindow))
+	m.slotTime = m.slotTime*decay + float64(slotsInUse)*float64(period)
+	m.answered *= decay
+}
+
+// addAnswer records an answered request.
+func (m *workMeter) addAnswer() {
+	m.answered++
+}
+
+// minMeasuredAnswers is the number of answers below which the measurement is too coarse.
+const minMeasuredAnswers = 4
+
+// mean returns the mean work of a request in milliseconds, or zero if it is not known.
+func (m *workMeter) mean() float64 {
+	if m.answered < minMeasuredAnswers {
+		return 0
+	}
+	return m.slotTime / m.answered
+}
--- a/internal/process/streambalancer/config.go
+++ b/internal/process/streambalancer/config.go
@@ -178,6 +178,9 @@
 	}
 	b.deps.Log.Info().Str("event", "version").Uint64("version", t.Version).Uint64("revision", t.Revision).
 		Int("listeners", len(t.Listeners)).Str("from", from).Msg("configuration in force")
+	for _, mistake := range t.Ignored {
+		b.deps.Log.Warn().Str("event", "ignored").Uint64("version", t.Version).Str("mistake", mistake).Send()
+	}
 	b.broadcastNews(now)
 	return true
 }
--- a/internal/version/routing/routing.go
+++ b/internal/version/routing/routing.go
@@ -33,6 +33,7 @@
 var (
 	ErrNoListener = errs.New("routing: no listener at this address")
 	ErrInvalid    = errs.New("routing: invalid table")
+	ErrClass      = errs.New("routing: invalid class")
 )
 
 // Share is a service's share of a listener's new flows.
@@ -48,6 +49,8 @@
 	Shares  []Share        `json:"shares"`
 	// HomeRegions are the regions in which its flows may be opened; empty means any.
 	HomeRegions []string `json:"homes,omitempty"`
+	// Class describes the flows' requests; nil if it is not known.
+	Class *Class `json:"class,omitempty"`
 }
 
 // Service holds a table's settings for a service.
@@ -68,6 +71,8 @@
 	IdleTimeout clock.Millis `json:"idle"`
 	// Services lists the services that have settings besides their name.
 	Services []Service `json:"services,omitempty"`
+	// Ignored lists what was left out of the table because it is invalid.
+	Ignored []string `json:"ignored,omitempty"`
 
 	byAddress    map[netip.AddrPort]*Listener
 	warmingRates map[string]int
@@ -124,6 +129,12 @@
 	if total == 0 {
 		return fmt.Errorf("%w: listener %q goes to no service", ErrInvalid, l.Name)
 	}
+	if l.Class == nil {
+		return nil
+	}
+	if err := l.Class.Check(); err != nil {
+		return fmt.Errorf("%w: listener %q: %w", ErrInvalid, l.Name, err)
+	}
 	return nil
 }
 
