rotation: a balancer that lacks processor time leaves the fabric's rotation

Cause: a balancer knew that it was late (its timers fire late) and told nobody but its log.

Each balancer keeps the mean lateness of its timers and tells it in its news. Above a share of the shortest objective it reports that it is not ready, as long as more than half of the known balancers of its failure domain are heard, active and in time; one after the other, the one that is much later first. It returns on trial, after a rest that doubles with each relapse, and early when the others become late.

Ruled out: to rest at once (when power returned, thirteen small balancers left at the same moment, since none knew yet that the others were late); the owners handed over at a rest (thousands of datagrams by the one that is short).

Lateness is now measured against the interval that was set: while a search was under way, ticks come each 10 ms and one that was 40 ms late did not count as late.

The QUIC edge has no fabric that asks for readiness: nothing there.

--- /dev/null
+++ b/internal/process/rotation/lateness.go
@@ -0,0 +1,44 @@
+package rotation
+
+import (
+	"math"
+
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+)
+
+const (
+	latenessWindow = clock.Second
+	// recentWindow is the averaging time that tells a lasting delay from one that is over.
+	recentWindow = 100 * clock.Millis(1)
+	// maxSample bounds one sample. A sample of minPause or more is a pause of the whole VM,
+	// which shows no lack of processor time, and is ignored.
+	maxSample = 50 * clock.Millis(1)
+	minPause  = clock.Second
+)
+
+// Lateness is the mean delay with which a process's timers fire.
+type Lateness struct {
+	mean, recent float64
+}
+
+// Add adds the delay of a timer that was set to an interval.
+func (l *Lateness) Add(late, interval clock.Millis) {
+	late = max(late, 0)
+	if late >= minPause {
+		return
+	}
+	elapsed := float64(interval + late)
+	sample := float64(min(late, maxSample))
+	l.mean += (sample - l.mean) * (1 - math.Exp(-elapsed/float64(latenessWindow)))
+	l.recent += (sample - l.recent) * (1 - math.Exp(-elapsed/float64(recentWindow)))
+}
+
+// Mean returns the mean delay of about the last second, in milliseconds.
+func (l *Lateness) Mean() float64 {
+	return l.mean
+}
+
+// exceeds reports whether the delay is above a maximum and lasts.
+func (l *Lateness) exceeds(maximum float64) bool {
+	return l.mean > maximum && l.recent > maximum
+}
--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -45,6 +45,7 @@
 	"github.com/wagtailtray/wagtailtray/internal/process/decisions"
 	"github.com/wagtailtray/wagtailtray/internal/process/directory"
 	"github.com/wagtailtray/wagtailtray/internal/process/parcels"
+	"github.com/wagtailtray/wagtailtray/internal/process/rotation"
 	"github.com/wagtailtray/wagtailtray/internal/process/tasks"
 	"github.com/wagtailtray/wagtailtray/internal/request/segment"
 	"github.com/wagtailtray/wagtailtray/internal/version/routing"
@@ -88,6 +89,9 @@
 	Parcels netip.AddrPort
 	// FlowTTL is the maximum lifetime of a flow.
 	FlowTTL clock.Millis
+	// SteadyHashing is set if the fabric moves only the flows of a balancer that joins or
+	// leaves the rotation. Only then does one that lacks processor time leave it.
+	SteadyHashing bool
 	// Linger is how long a stopping balancer continues to serve, until the fabric has
 	// noticed that it is not ready.
 	Linger clock.Millis
@@ -127,6 +131,10 @@
 	peers    *Peers
 	recorder *decisions.Recorder
 	leaving  bool
+	// rotation decides whether this balancer takes part in the fabric's rotation;
+	// rotationCheckedAt is when that was last checked.
+	rotation          *rotation.Rotation
+	rotationCheckedAt clock.Millis
 	// sentDigest is the target digest that was last broadcast, and sentDigestAt the time.
 	sentDigest   uint64
 	sentDigestAt clock.Millis
@@ -143,8 +151,9 @@
 	evacuationsCheckedAt clock.Millis
 	// seenRevision is the latest platform revision that was seen; only syncConfig uses it.
 	seenRevision uint64
-	// lastTick is the time of the last tick.
-	lastTick clock.Millis
+	// tickDue is when the next tick is due, tickInterval after the last one.
+	tickDue      clock.Millis
+	tickInterval time.Duration
 	// keeper collects the checkpoints of the failure domain.
 	keeper *checkpoint.Keeper
 	// isKeeper reports whether this balancer writes them; only runKeeper uses it.
@@ -211,7 +220,7 @@
 		malformed: decisions.NewMalformedRecorder(deps.Log, deps.Scope), unsent: deps.Scope.Counter("unsent"),
 		traffic:   parcels.NewTraffic(deps.Log, deps.Scope),
 		forwarded: deps.Scope.Counter("packets"), refusedQuestions: deps.Scope.Counter("handon_refused"),
-		configWake: make(chan struct{}, 1),
+		configWake: make(chan struct{}, 1), rotation: rotation.New(deps.Clock.Now(), settings.Name),
 	}
 	b.keeper = checkpoint.NewKeeper(settings.Checkpoint)
 	b.peers = NewPeers(deps.Clock.Now(), Peer{
@@ -344,6 +353,8 @@
 		return "no targets known"
 	case answering == 0:
 		return "no target answers"
+	case b.rotation.Resting():
+		return "short of processor time"
 	default:
 		return ""
 	}
--- a/internal/process/streambalancer/news.go
+++ b/internal/process/streambalancer/news.go
@@ -34,6 +34,7 @@
 		Epoch: self.Epoch, Digest: view.Digest, Lost: view.Lost, Watching: b.watching, Leaving: b.leaving,
 		Settled: b.settled,
 		Version: b.tableVersion(), Evacuations: b.evacuationsMessage(),
+		Resting: b.rotation.Resting(), Lateness: encodeLateness(b.rotation.Lateness.Mean()),
 	}
 }
 
@@ -103,7 +104,7 @@
 	b.setSettled(b.peers.Settled(now, digest, func(domain string) bool {
 		return b.steerer.Targets.Complete(now, domain)
 	}))
-	b.steerer.Targets.SetBalancers(len(b.peers.LocalPeers(now)) + 1)
+	b.steerer.Targets.SetBalancers(b.peers.countActive(now) + 1)
 	for _, p := range b.peers.DueForNews(now) {
 		n := b.buildNews(view, p.Address)
 		if p.HeardAt == 0 && b.peers.allowContactRequest(now, p) {
@@ -187,7 +188,7 @@
 	isNew := b.peers.Update(now, Peer{
 		Address: from, Name: n.Self.Name, Domain: n.Self.Domain, CPUShare: n.Self.Share, Epoch: n.Epoch, Version: n.Version,
 		Watching: n.Watching, Leaving: n.Leaving, Settled: n.Settled, ChoseThis: n.Chose,
-		View: View{Digest: n.Digest, Lost: n.Lost},
+		View: View{Digest: n.Digest, Lost: n.Lost}, Resting: n.Resting, Lateness: decodeLateness(n.Lateness),
 	})
 	b.handleEvacuations(now, n.Evacuations)
 	learned := b.learnContacts(now, from, n.Contacts)
--- a/internal/process/streambalancer/peers.go
+++ b/internal/process/streambalancer/peers.go
@@ -44,6 +44,12 @@
 	Leaving  bool
 	// Settled reports whether it knows all targets that the others know.
 	Settled bool
+	// Resting reports whether it does not take part in the fabric's rotation, RestChangedAt
+	// is when that was last seen to change, and Lateness is its mean lateness in
+	// milliseconds.
+	Resting       bool
+	RestChangedAt clock.Millis
+	Lateness      float64
 	// ChoseThis reports whether it has selected this balancer as a neighbour.
 	ChoseThis bool
 	// HeardAt is the time of its last news; zero if there was none.
@@ -179,6 +185,10 @@
 	p.Name, p.Domain, p.CPUShare, p.Epoch, p.Version = n.Name, n.Domain, n.CPUShare, n.Epoch, n.Version
 	p.Watching, p.Leaving, p.Settled = n.Watching, n.Leaving, n.Settled
 	p.View, p.ChoseThis = n.View, n.ChoseThis
+	if p.Resting != n.Resting {
+		p.RestChangedAt = now
+	}
+	p.Resting, p.Lateness = n.Resting, n.Lateness
 	p.HeardAt = now
 	if changed {
 		ps.add(p)
--- a/internal/process/streambalancer/tick.go
+++ b/internal/process/streambalancer/tick.go
@@ -39,23 +39,29 @@
 	b.flush()
 	b.sendDueNews(now)
 	b.sendDueSummaries(now)
+	b.updateRotation(now)
 	if b.traffic.LogIfDue(now, false) {
 		b.reportTargets(now)
 	}
+	b.tickInterval = tickInterval
 	if b.steerer.Searches() > 0 {
-		return searchTickInterval
+		b.tickInterval = searchTickInterval
 	}
-	return tickInterval
+	b.tickDue = b.deps.Clock.Now() + clock.FromDuration(b.tickInterval)
+	return b.tickInterval
 }
 
 // reportLateTick reports that this process was paused or lacks CPU time.
 func (b *Balancer) reportLateTick(now clock.Millis) {
-	late := now.Sub(b.lastTick) - clock.FromDuration(tickInterval)
-	if b.lastTick != 0 && late > lateTickThreshold {
+	if b.tickDue == 0 {
+		return
+	}
+	late := now.Sub(b.tickDue)
+	b.rotation.Lateness.Add(late, clock.FromDuration(b.tickInterval))
+	if late > lateTickThreshold {
 		b.deps.Scope.Timer("late").Record(late.Duration())
 		b.deps.Log.Warn().Str("event", "late").Int64("age", int64(late)).Int("searches", b.steerer.Searches()).Send()
 	}
-	b.lastTick = now
 }
 
 // reportTargets reports the number of known targets and the age of what is known about
--- a/internal/version/routing/class.go
+++ b/internal/version/routing/class.go
@@ -36,6 +36,11 @@
 	return nil
 }
 
+// MinObjective returns the shortest objective of the classes, or zero if none states one.
+func (t *Table) MinObjective() clock.Millis {
+	return t.minObjective
+}
+
 // Class returns the class of a flow's requests, or nil if its listener has none.
 func (t *Table) Class(f segment.Flow) *Class {
 	if l, ok := t.byAddress[f.Listener]; ok {
--- a/internal/version/routing/routing.go
+++ b/internal/version/routing/routing.go
@@ -76,6 +76,7 @@
 
 	byAddress    map[netip.AddrPort]*Listener
 	warmingRates map[string]int
+	minObjective clock.Millis
 }
 
 // Check returns the first error in a table and builds its index.
@@ -90,6 +91,9 @@
 			return err
 		}
 		t.byAddress[l.Address] = l
+		if c := l.Class; c != nil && c.Objective > 0 && (t.minObjective == 0 || c.Objective < t.minObjective) {
+			t.minObjective = c.Objective
+		}
 	}
 	t.warmingRates = make(map[string]int, len(t.Services))
 	for _, s := range t.Services {
