wagtailtray load: who was refused or had to wait, and why, from the logs

An operator had the counters of each process and the story of one flow, but nothing over a fleet. The verb groups the lines of openings that were refused or waited and of requests that failed by event, service, priority and reason, and lists the balancers that are short of processor time.

--- a/cmd/wagtailtray/main.go
+++ b/cmd/wagtailtray/main.go
@@ -7,6 +7,7 @@
 //	wagtailtray approve plan.json --platform 192.0.2.10:8001
 //	wagtailtray status --peers 192.0.2.21:7000 --key ...
 //	wagtailtray story --flow 192.0.2.7:40001 *.log
+//	wagtailtray load *.log
 //	wagtailtray try
 //
 // See docs/operate for what each command does and its exit codes.
@@ -53,6 +54,7 @@
 	History historyCommand `cmd:"" help:"List the approved changes."`
 	Key     keyCommand     `cmd:"" help:"Print a new deployment key."`
 	Story   storyCommand   `cmd:"" help:"Show what the logs record about one flow."`
+	Load    loadCommand    `cmd:"" help:"Show from the logs who was refused or had to wait, and why."`
 	Try     tryCommand     `cmd:"" help:"Run a whole deployment on loopback and change it under load."`
 }
 
--- a/cmd/wagtailtray/story.go
+++ b/cmd/wagtailtray/story.go
@@ -20,13 +20,9 @@
 
 // Run prints the log lines about the flow.
 func (c *storyCommand) Run() error {
-	var all []decisions.Line
-	for _, path := range c.Logs {
-		lines, err := readLog(path)
-		if err != nil {
-			return err
-		}
-		all = append(all, lines...)
+	all, err := readLogs(c.Logs)
+	if err != nil {
+		return err
 	}
 	timeline := decisions.Timeline(all, c.Flow)
 	if len(timeline) == 0 {
@@ -35,6 +31,18 @@
 	return decisions.WriteTimeline(os.Stdout, timeline)
 }
 
+func readLogs(paths []string) ([]decisions.Line, error) {
+	var all []decisions.Line
+	for _, path := range paths {
+		lines, err := readLog(path)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
+
 func readLog(path string) ([]decisions.Line, error) {
 	var r io.Reader = os.Stdin
 	if path != "-" {
--- a/internal/process/decisions/timeline.go
+++ b/internal/process/decisions/timeline.go
@@ -37,6 +37,11 @@
 	Watching *bool `json:"watching"`
 	Keeping  *bool `json:"keeping"`
 	Relaying *bool `json:"relaying"`
+	// Priority is that of the class of a flow's requests.
+	Priority *int `json:"priority"`
+	// Lateness and Limit are those of a balancer whose timers fire late, in milliseconds.
+	Lateness float64 `json:"lateness"`
+	Limit    float64 `json:"limit"`
 }
 
 const (
