stream: an opening from a port used before follows the routing table

Cause: an opening packet of a flow in the balancer's table with a confirmed owner counted as a retransmission and went to that owner before the routing table was asked, however old the flow was and whether or not it had ended. The agent took an opening beside the record of a flow that had not ended for a copy, and passed it on without asking whether its target takes new flows. An opening that the owner returned was dropped.

Change: a retransmission has the sequence number of the opening and arrives within 2 s of it. For a flow learned otherwise the time at which it became known stands for that of its opening; it must not have ended, and the table must still route it to the owner's service. Anything else is a new flow. A dropped route resets in either case. An opening that its owner returns is placed elsewhere unless the caller uses the flow; a return of an earlier flow's opening counts for nothing. Queued openings are not dropped beside a flow that was only inherited. The agent keeps the record that a new opening replaces until the target accepts.

Ruled out: an equal sequence number alone, since a caller may use the same one for all its flows; the end of the flow alone, since a half-closed flow's late copy must not replace its record.

The other edge, by reading: a home follows the record of a placement for the resend window only, and a dropped service has no targets: the fault is not there. But Table.Take delivers a long header from the address of a flow that has not expired to that flow, whatever connection identifier it carries, also at a target that drains; and the identifier that the upstream then chooses is not learned. Found, not mended.

--- a/internal/connection/stream/load.go
+++ b/internal/connection/stream/load.go
@@ -74,5 +74,5 @@
 	if f.endedAt != 0 && now.Sub(f.lastPacket()) > endedFlowRetention {
 		return true
 	}
-	return now.Sub(f.openedAt) > tr.settings.FlowTTL && now.Sub(f.lastPacket()) > tr.settings.FlowTTL
+	return now.Sub(f.opening.at) > tr.settings.FlowTTL && now.Sub(f.lastPacket()) > tr.settings.FlowTTL
 }
--- a/internal/connection/stream/opening.go
+++ b/internal/connection/stream/opening.go
@@ -13,15 +13,20 @@
 
 // handleOpening sends an opening packet to a target. A retransmission goes to the target
 // that confirmed the first one; if none has, to another target, since the first may be
-// down and accepting twice is harmless.
-func (s *Steerer) handleOpening(now clock.Millis, id segment.Flow, f *flow, packet []byte) {
-	if f != nil && s.resendToOwner(now, f, packet) {
+// down and accepting twice is harmless. A new flow from a port that was used before is
+// opened as if the earlier flow had not been.
+func (s *Steerer) handleOpening(now clock.Millis, id segment.Flow, f *flow, seq uint32, packet []byte) {
+	if f != nil && !f.opening.mayResend(now, seq, f.ended) {
+		s.forget(id, f)
+		f = nil
+	}
+	if f != nil && s.resendToOwner(now, id, f, seq, packet) {
 		return
 	}
-	if s.table == nil && s.queueAtStartup(now, id, packet, "no configuration yet") {
+	if s.table == nil && s.queueAtStartup(now, id, seq, packet, "no configuration yet") {
 		return
 	}
-	if s.evacuationsUnknown() && s.queueAtStartup(now, id, packet, "evacuations not known yet") {
+	if s.evacuationsUnknown() && s.queueAtStartup(now, id, seq, packet, "evacuations not known yet") {
 		return
 	}
 	service, err := s.pickService(id)
@@ -29,28 +34,57 @@
 		return
 	}
 	if f == nil {
-		f = &flow{openedAt: now}
+		f = &flow{}
 		s.flows.Add(id, f)
 	}
+	s.recordOpening(now, f, seq)
+	s.route(now, id, f, service)
+	s.placeOpening(now, id, f, packet)
+}
+
+// forget removes a flow whose port its caller uses again.
+func (s *Steerer) forget(id segment.Flow, f *flow) {
+	if f.search != nil {
+		f.search.finish()
+	}
+	s.flows.Remove(id)
+}
+
+// recordOpening records the first copy of an opening packet that arrives here.
+func (s *Steerer) recordOpening(now clock.Millis, f *flow, seq uint32) {
+	if !f.opening.seen {
+		f.opening, f.carried = seenOpening(now, seq), false
+	}
+}
+
+// route assigns a flow that is about to be opened to a service of the table in force.
+func (s *Steerer) route(now clock.Millis, id segment.Flow, f *flow, service string) {
 	f.lastSeen, f.ended, f.inherited = now, false, false
 	f.service, f.homeRegions = service, s.table.HomeRegions(id)
 	if f.search == nil {
 		f.answers = nil
 	}
-	s.placeOpening(now, id, f, packet)
 }
 
 // resendToOwner sends a retransmitted opening packet to the target that confirmed the
 // flow, and reports whether it did.
-func (s *Steerer) resendToOwner(now clock.Millis, f *flow, packet []byte) bool {
+//
+// A packet of a flow whose opening did not arrive here may also open a new flow, so it goes
+// to the owner only if the table in force allows that.
+func (s *Steerer) resendToOwner(now clock.Millis, id segment.Flow, f *flow, seq uint32, packet []byte) bool {
 	agent, ok := f.owner.Confirmed()
-	if !ok {
+	if !ok || s.table == nil {
+		return false
+	}
+	service, err := s.table.PickService(id)
+	if err != nil || !f.opening.seen && service != f.service {
 		return false
 	}
 	t, ok := s.Targets.Find(agent)
 	if !ok || t.Service != f.service || t.Suspected(now) {
 		return false
 	}
+	s.recordOpening(now, f, seq)
 	f.lastSeen = now
 	s.out.send(agent, s.openParcel(f.service, packet))
 	return true
@@ -122,13 +156,13 @@
 		return
 	}
 	demand := s.demand(f)
-	if s.Targets.anyWarming(now, &demand) && s.queueOpening(now, queuedOpening{id: id, queuedAt: f.openedAt, packet: packet, tried: len(f.tried)}, "targets have just started") {
+	if s.Targets.anyWarming(now, &demand) && s.queueOpening(now, queuedOpening{id: id, seq: f.opening.seq, queuedAt: f.opening.at, packet: packet, tried: len(f.tried)}, "targets have just started") {
 		s.flows.Remove(id)
 		return
 	}
 	reason := s.Targets.blockedReason(now, &demand)
 	refused := len(f.tried) > 0 || reason != "" && s.knowsTargets(now)
-	if !refused && s.queueAtStartup(now, id, packet, cmp.Or(reason, "no target is ready")) {
+	if !refused && s.queueAtStartup(now, id, f.opening.seq, packet, cmp.Or(reason, "no target is ready")) {
 		s.flows.Remove(id)
 		return
 	}
@@ -175,14 +209,39 @@
 }
 
 // handleDeclined chooses another target for an opening packet that a target returned.
-func (s *Steerer) handleDeclined(now clock.Millis, id segment.Flow, f *flow, from netip.AddrPort, p *wire.Parcel) {
+func (s *Steerer) handleDeclined(now clock.Millis, id segment.Flow, f *flow, from netip.AddrPort, p *wire.Parcel, seq uint32) {
+	if f.opening.seen && seq != f.opening.seq {
+		// It opened an earlier flow from this port.
+		return
+	}
 	f.pending = max(f.pending-1, 0)
 	if !slices.Contains(f.tried, from) {
 		f.tried = append(f.tried, from)
 	}
 	s.out.record(Event{Kind: Declined, Flow: id, Target: from, Service: f.service, Reason: p.Cause.String()})
-	if _, known := f.owner.Confirmed(); known || f.search != nil {
+	if f.search != nil {
+		return
+	}
+	if agent, known := f.owner.Confirmed(); known {
+		s.reopenDeclined(now, id, f, agent == from, p.Packet)
 		return
 	}
 	s.placeOpening(now, id, f, p.Packet)
 }
+
+// reopenDeclined opens a flow elsewhere whose opening packet was returned although an owner
+// is known. If that owner has returned it, it no longer holds the flow, unless the caller
+// is using it: then the packet is a late copy. Otherwise the owner has the packet.
+func (s *Steerer) reopenDeclined(now clock.Millis, id segment.Flow, f *flow, byOwner bool, packet []byte) {
+	inUse := f.carried && !f.ended
+	if !byOwner || inUse {
+		return
+	}
+	service, err := s.pickService(id)
+	if err != nil {
+		return
+	}
+	f.owner = owner{}
+	s.route(now, id, f, service)
+	s.placeOpening(now, id, f, packet)
+}
--- a/internal/connection/stream/owners.go
+++ b/internal/connection/stream/owners.go
@@ -51,7 +51,9 @@
 		if err != nil || s.flows.Contains(id) {
 			continue
 		}
-		s.flows.Add(id, &flow{owner: confirmedBy(agent), service: o.Service, lastSeen: now, inherited: true})
+		s.flows.Add(id, &flow{
+			owner: confirmedBy(agent), service: o.Service, lastSeen: now, inherited: true, opening: unseenOpening(now),
+		})
 		added++
 	}
 	return added
--- a/internal/connection/stream/queue.go
+++ b/internal/connection/stream/queue.go
@@ -22,6 +22,7 @@
 // queuedOpening is an opening packet that arrived before there was a route or a target for it.
 type queuedOpening struct {
 	id       segment.Flow
+	seq      uint32
 	queuedAt clock.Millis
 	packet   []byte
 	// tried is how many targets have declined it.
@@ -30,8 +31,8 @@
 
 // queueAtStartup queues an opening packet until there is a route and a target for it, and
 // reports whether it did: after the startup period a balancer knows all targets.
-func (s *Steerer) queueAtStartup(now clock.Millis, id segment.Flow, packet []byte, reason string) bool {
-	return now.Sub(s.started) <= startupPeriod && s.queueOpening(now, queuedOpening{id: id, queuedAt: now, packet: packet}, reason)
+func (s *Steerer) queueAtStartup(now clock.Millis, id segment.Flow, seq uint32, packet []byte, reason string) bool {
+	return now.Sub(s.started) <= startupPeriod && s.queueOpening(now, queuedOpening{id: id, seq: seq, queuedAt: now, packet: packet}, reason)
 }
 
 // queueOpening queues an opening packet until there is a target for it. It reports whether it
@@ -56,14 +57,17 @@
 	s.queued = nil
 	full := map[destination]bool{}
 	for _, o := range due {
+		f, known := s.flows.Get(o.id)
 		switch {
-		case s.flows.Contains(o.id):
+		case known && f.opening.seen:
 		case now.Sub(o.queuedAt) > queueTimeout:
 			s.expireQueued(now, o)
 		case s.canResolve(now, o.id, full):
-			f := &flow{openedAt: o.queuedAt}
-			s.flows.Add(o.id, f)
-			s.handleOpening(now, o.id, f, o.packet)
+			if !known {
+				f = &flow{opening: seenOpening(o.queuedAt, o.seq)}
+				s.flows.Add(o.id, f)
+			}
+			s.handleOpening(now, o.id, f, o.seq, o.packet)
 		default:
 			s.queued = append(s.queued, o)
 		}
--- a/internal/connection/stream/restore.go
+++ b/internal/connection/stream/restore.go
@@ -45,7 +45,7 @@
 	e := checkpoint.Entry{Service: tr.settings.Service, Born: u.born, Writer: tr.settings.Epoch}
 	for _, id := range tr.flows.Keys() {
 		f, ok := tr.flows.Peek(id)
-		if ok && f.open && !f.unverified && f.endedAt == 0 && f.openedAt < u.lastHeartbeat {
+		if ok && f.open && !f.unverified && f.endedAt == 0 && f.opening.at < u.lastHeartbeat {
 			e.Flows = e.Flows.Append(checkpoint.Flow{ID: id, Ack: f.ack})
 		}
 	}
--- a/internal/connection/stream/steer.go
+++ b/internal/connection/stream/steer.go
@@ -43,8 +43,10 @@
 	// those that have not answered.
 	tried   []netip.AddrPort
 	pending int
-	// openedAt is when the first opening packet arrived, lastSeen when any packet last did.
-	openedAt clock.Millis
+	opening opening
+	// carried is set if the caller has continued the flow since its opening packet.
+	carried bool
+	// lastSeen is when any packet last arrived.
 	lastSeen clock.Millis
 	search   *search
 	// answers are those of agents in the last search for the owner, and searchFailedAt
@@ -178,14 +180,15 @@
 	id := seg.FromCaller()
 	f, known := s.flows.Get(id)
 	if seg.Opening() {
-		s.handleOpening(now, id, f, packet)
+		s.handleOpening(now, id, f, seg.Seq, packet)
 		return
 	}
 	if !known {
-		f = &flow{}
+		f = &flow{opening: unseenOpening(now)}
 		s.flows.Add(id, f)
 	}
 	f.lastSeen = now
+	f.carried = true
 	f.lastAck = seg.Ack
 	f.inherited = false
 	f.ended = f.ended || seg.Flags&(segment.Ends|segment.Resets) != 0
@@ -286,13 +289,13 @@
 	f, ok := s.flows.Get(id)
 	if seg.Opening() {
 		if ok {
-			s.handleDeclined(now, id, f, from, p)
+			s.handleDeclined(now, id, f, from, p, seg.Seq)
 		}
 		return
 	}
 	if !ok {
 		// The process has just started; its predecessor forwarded the packet.
-		f = &flow{lastAck: seg.Ack}
+		f = &flow{lastAck: seg.Ack, carried: true, opening: unseenOpening(now)}
 		s.flows.Add(id, f)
 	}
 	if f.search != nil {
--- a/internal/connection/stream/tracker.go
+++ b/internal/connection/stream/tracker.go
@@ -55,9 +55,11 @@
 	ack        uint32
 	lastIn     clock.Millis
 	lastOut    clock.Millis
-	openedAt   clock.Millis
-	busySince  clock.Millis
-	endedAt    clock.Millis
+	opening    opening
+	// previous is an earlier flow from the same port, until the target has accepted this one.
+	previous  *trackedFlow
+	busySince clock.Millis
+	endedAt   clock.Millis
 }
 
 func (f *trackedFlow) lastPacket() clock.Millis {
@@ -146,18 +148,12 @@
 	}
 	id := seg.FromCaller()
 	f, ok := tr.flows.Get(id)
-	if ok && f.endedAt != 0 {
-		ok = false
-	}
-	if !ok {
+	if !ok || f.endedAt != 0 || !f.opening.mayResend(now, seg.Seq, false) {
 		if cause := tr.admit(now, int(p.Warming)); cause != wire.Cause_CAUSE_NONE {
 			tr.returnPacket(now, from, seg, p.Packet, cause)
 			return
 		}
-		f = &trackedFlow{openedAt: now}
-		tr.flows.Add(id, f)
-		tr.denied.Remove(id)
-		tr.activeFlows++
+		f = tr.addOpening(now, id, f, seg.Seq)
 	}
 	f.balancer, f.lastIn = from, now
 	if tr.upstream.pendingSince == 0 {
@@ -166,6 +162,20 @@
 	tr.deliver(from, p.Packet)
 }
 
+// addOpening adds a flow that the target is about to be sent. previous is an earlier flow
+// from the same port, or nil.
+func (tr *Tracker) addOpening(now clock.Millis, id segment.Flow, previous *trackedFlow, seq uint32) *trackedFlow {
+	f := &trackedFlow{opening: seenOpening(now, seq)}
+	if previous != nil && previous.endedAt == 0 {
+		f.previous, previous.previous = previous, nil
+	}
+	tr.flows.Add(id, f)
+	delete(tr.busyFlows, id)
+	tr.denied.Remove(id)
+	tr.activeFlows++
+	return f
+}
+
 // admit returns why a new opening is rejected, or CAUSE_NONE. rate is the number of
 // openings a second that the target accepts while it is slow after its start.
 func (tr *Tracker) admit(now clock.Millis, rate int) wire.Cause {
@@ -235,7 +245,7 @@
 		return
 	case wire.Holding_HOLDING_UNSURE:
 		if !tr.flows.Contains(id) {
-			tr.flows.Add(id, &trackedFlow{unverified: true, openedAt: now})
+			tr.flows.Add(id, &trackedFlow{unverified: true, opening: unseenOpening(now)})
 		}
 	}
 	f, _ := tr.flows.Get(id)
@@ -265,7 +275,7 @@
 		return
 	}
 	if !ok {
-		f = &trackedFlow{openedAt: now, open: true}
+		f = &trackedFlow{open: true, opening: unseenOpening(now)}
 		tr.flows.Add(id, f)
 	}
 	f.lastOut = now
@@ -278,9 +288,9 @@
 	}
 	if seg.Flags.Has(segment.Opens) {
 		if !f.accepted {
-			tr.out.record(Event{Kind: Accepted, Flow: id, Target: f.balancer, Service: tr.settings.Service, Age: now.Sub(f.openedAt)})
+			tr.out.record(Event{Kind: Accepted, Flow: id, Target: f.balancer, Service: tr.settings.Service, Age: now.Sub(f.opening.at)})
 		}
-		f.seq, f.accepted = seg.Seq, true
+		f.seq, f.accepted, f.previous = seg.Seq, true, nil
 		tr.confirmOwnership(id, f)
 	}
 	if f.busySince != 0 && f.endedAt == 0 && (seg.Size > 0 || seg.Flags.Has(segment.Resets)) {
@@ -321,9 +331,7 @@
 	id := seg.FromCaller()
 	to := tr.balancerOf(seg.Mark)
 	if seg.Opening() {
-		if f, ok := tr.flows.Peek(id); ok && !f.open {
-			tr.flows.Remove(id)
-		}
+		tr.removeOpening(id)
 		tr.returnPacket(now, to, seg, packet, wire.Cause_CAUSE_FULL)
 		return
 	}
@@ -337,3 +345,17 @@
 	}
 	tr.returnPacket(now, to, seg, packet, wire.Cause_CAUSE_UNOWNED)
 }
+
+// removeOpening removes a flow whose opening packet the target returned. If it had replaced
+// an earlier flow from the same port, the packet may have been a copy that came too late,
+// and the target may still hold that flow.
+func (tr *Tracker) removeOpening(id segment.Flow) {
+	f, ok := tr.flows.Peek(id)
+	if !ok || f.open {
+		return
+	}
+	tr.flows.Remove(id)
+	if f.previous != nil {
+		tr.flows.Add(id, f.previous)
+	}
+}
--- a/internal/connection/stream/upstream.go
+++ b/internal/connection/stream/upstream.go
@@ -169,7 +169,7 @@
 	ended := 0
 	for _, id := range tr.flows.Keys() {
 		f, ok := tr.flows.Peek(id)
-		if !ok || f.openedAt >= before {
+		if !ok || f.opening.at >= before {
 			continue
 		}
 		tr.flows.Remove(id)
