stream: an agent keeps a half-closed flow

Cause: an agent forgot a flow 10 s after the last packet once its target had ended it, although the caller had not. From then on it denied the flow.

What callers would see: an end or an acknowledgement sent after a longer pause is returned by the agent, searched for and answered with a reset.

Change: the 10 s hold for flows that both ends have ended or one has reset. A half-closed flow is kept as long as an idle open one, within the bound of the table. It still counts as no load.

Ruled out: a flow that only its caller has ended; it was kept before.

The other edge sees no ends, they are encrypted.

--- a/internal/connection/stream/load.go
+++ b/internal/connection/stream/load.go
@@ -12,8 +12,8 @@
 	maxRequestTime = 5 * clock.Second
 	// sweepInterval is the interval at which expired flows are removed.
 	sweepInterval = clock.Second
-	// endedFlowRetention is how long an ended flow is kept: its last packets may be
-	// retransmitted with exponential delays of up to 1.6 s.
+	// endedFlowRetention is how long a flow is kept that both ends have ended: its last
+	// packets may be retransmitted with exponential delays of up to 1.6 s.
 	endedFlowRetention = 10 * clock.Second
 	// loadWindow is the averaging time of the number of requests in progress: about ten
 	// requests per slot.
@@ -71,7 +71,7 @@
 }
 
 func (tr *Tracker) expired(now clock.Millis, f *trackedFlow) bool {
-	if f.endedAt != 0 && now.Sub(f.lastPacket()) > endedFlowRetention {
+	if f.endedAt != 0 && f.callerEnded && now.Sub(f.lastPacket()) > endedFlowRetention {
 		return true
 	}
 	return now.Sub(f.opening.at) > tr.settings.FlowTTL && now.Sub(f.lastPacket()) > tr.settings.FlowTTL
--- a/internal/connection/stream/tracker.go
+++ b/internal/connection/stream/tracker.go
@@ -59,7 +59,10 @@
 	// previous is an earlier flow from the same port, until the target has accepted this one.
 	previous  *trackedFlow
 	busySince clock.Millis
-	endedAt   clock.Millis
+	// endedAt is when the target ended the flow; callerEnded is set if its caller has ended
+	// it too, or it was reset.
+	endedAt     clock.Millis
+	callerEnded bool
 }
 
 func (f *trackedFlow) lastPacket() clock.Millis {
@@ -166,7 +169,7 @@
 // from the same port, or nil.
 func (tr *Tracker) addOpening(now clock.Millis, id segment.Flow, previous *trackedFlow, seq uint32) *trackedFlow {
 	f := &trackedFlow{opening: seenOpening(now, seq)}
-	if previous != nil && previous.endedAt == 0 {
+	if previous != nil && (previous.endedAt == 0 || !previous.callerEnded) {
 		f.previous, previous.previous = previous, nil
 	}
 	tr.flows.Add(id, f)
@@ -250,6 +253,7 @@
 	}
 	f, _ := tr.flows.Get(id)
 	f.balancer, f.lastIn, f.ack = from, now, seg.Ack
+	f.callerEnded = f.callerEnded || seg.Flags&(segment.Ends|segment.Resets) != 0
 	if !f.unverified {
 		f.open = true
 	}
@@ -303,6 +307,7 @@
 	if seg.Flags&(segment.Ends|segment.Resets) != 0 && f.endedAt == 0 {
 		f.endedAt = now
 	}
+	f.callerEnded = f.callerEnded || seg.Flags.Has(segment.Resets)
 	tr.out.Answers = append(tr.out.Answers, packet)
 }
 
