--- a/internal/process/decisions/malformed.go
+++ b/internal/process/decisions/malformed.go
@@ -11,12 +11,12 @@
 
 const (
 	// maxMalformedLinesPerSecond and maxMalformedLineBurst limit the lines about malformed
-	// datagrams, so that a sender of garbage does not flood the log of decisions.
+	// messages, so that a sender of garbage does not flood the log of decisions.
 	maxMalformedLinesPerSecond = 1
 	maxMalformedLineBurst      = 5
 )
 
-// MalformedRecorder logs and counts malformed datagrams. All are counted; the log lines
+// MalformedRecorder logs and counts malformed datagrams and requests. All are counted; the log lines
 // are rate limited, and each reports how many were omitted before it. It is safe for
 // concurrent use.
 type MalformedRecorder struct {
@@ -33,7 +33,7 @@
 	}
 }
 
-// Record records one malformed datagram. socket names the socket that received it.
+// Record records one malformed datagram or request. socket names the socket that received it.
 func (m *MalformedRecorder) Record(socket string, from netip.AddrPort, err error) {
 	m.counter.Inc(1)
 	if !m.limiter.Allow() {
@@ -41,5 +41,5 @@
 		return
 	}
 	m.log.Warn().Str("event", "malformed").Str("socket", socket).Stringer("from", from).
-		Int64("left", m.omitted.Swap(0)).Err(err).Msg("received a malformed datagram")
+		Int64("left", m.omitted.Swap(0)).Err(err).Msg("received a malformed message")
 }
--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -77,14 +77,23 @@
 	}
 	var all []Entry
 	for _, o := range list.Items {
-		var e Entry
-		if json.Unmarshal(o.Spec, &e) == nil && e.Address.IsValid() && e.Address.Addr().Is4() {
+		if e, ok := parseEntry(o); ok {
 			all = append(all, e)
 		}
 	}
 	return all, nil
 }
 
+// parseEntry decodes an entry, and reports whether a balancer may have written it: others
+// may write objects of this kind too.
+func parseEntry(o platform.Object) (Entry, bool) {
+	var e Entry
+	if json.Unmarshal(o.Spec, &e) != nil || e.Name == "" || e.Name != o.Metadata.Name || e.Domain == "" {
+		return Entry{}, false
+	}
+	return e, e.Address.Addr().Is4() && e.Address.Port() != 0
+}
+
 // Balancers lists the addresses of the balancers of a failure domain, and of all
 // balancers.
 func (d *Directory) Balancers(ctx context.Context, domain string) (local, all []netip.AddrPort, err error) {
--- a/internal/process/streamagent/agent.go
+++ b/internal/process/streamagent/agent.go
@@ -285,7 +285,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if b.Service != a.settings.Service {
-		return errs.New("streamagent: heartbeat of service %q, not %q", b.Service, a.settings.Service)
+		return errs.New("streamagent: heartbeat of another service than %q", a.settings.Service)
 	}
 	a.tracker.HandleHeartbeat(a.deps.Clock.Now(), b)
 	a.flush()
