Balancers watch the store by its answers

Cause: a balancer told the others that it watches as soon as it had sent a call. A silent store leaves a call unanswered for 2.9 s; after that the balancer was known not to watch for 0.8 s at most, of the 1.2 s for which the next one waits. So it stayed the watcher of its failure domain while the silence lasted. The same word decides who watches the evacuations and who keeps checkpoints.

Change: the word rests on answers. It starts with an answered read, after a ping that costs a tenth, and ends when a call of the watch fails or 1.7 s after the last answer; beside a pending watch the store is pinged. It is told at once. The next balancer tries after 0.2 s, all of them within 0.8 s; those that are turned away while another one watches try again each one to two seconds. The wait for evacuations ends with the watch. A watcher leaves at once when one of higher rank begins. The watch has a file of its own now.

That the store refuses, instead of being silent: held before.

The QUIC edge: found by reading, not run and not mended. The two live balancers of the first ranks in each failure domain watch, answered or not (member.IsRelay); nobody replaces them. The directory and the sync between its balancers make no such claim.

--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -62,6 +62,9 @@
 	Read(ctx context.Context) (*routing.Table, error)
 	// Wait returns the next change after a revision.
 	Wait(ctx context.Context, revision uint64) (Change, error)
+	// Ping makes a cheap call, to learn whether the store answers: unless it returns
+	// platform.ErrUnavailable, the store has answered.
+	Ping(ctx context.Context) error
 }
 
 // Change is the result of Source.Wait.
@@ -137,8 +140,15 @@
 	relay       relayState
 	// settled reports whether this balancer knows all targets that the others know.
 	settled bool
-	// watching reports whether the platform answered the last call of the watch.
-	watching bool
+	// watching reports whether this balancer watches the platform and was answered within
+	// watchLease. answeredAt is the time of the last answer.
+	watching   bool
+	answeredAt clock.Millis
+	// retryWatchAt is the time before which the platform is not tried again after a
+	// failure; zero if it has answered since, or another balancer's watch has ended.
+	retryWatchAt clock.Millis
+	// cancelEvacuationWait cancels the pending wait for evacuations; nil if there is none.
+	cancelEvacuationWait context.CancelFunc
 	// evacuationsCheckedAt is when the known evacuations were last confirmed to be current.
 	evacuationsCheckedAt clock.Millis
 	// seenRevision is the latest platform revision that was seen; only syncConfig uses it.
@@ -158,6 +168,8 @@
 	refusedQuestions tally.Counter
 	// configWake wakes the loop that syncs the configuration.
 	configWake chan struct{}
+	// fetchTable gets a version later than the given one from a peer.
+	fetchTable func(ctx context.Context, from netip.AddrPort, above uint64, timeout time.Duration) (*routing.Table, error)
 	cancel     context.CancelFunc
 	background tasks.Group
 }
@@ -211,7 +223,7 @@
 		malformed: decisions.NewMalformedRecorder(deps.Log, deps.Scope), unsent: deps.Scope.Counter("unsent"),
 		traffic:   parcels.NewTraffic(deps.Log, deps.Scope),
 		forwarded: deps.Scope.Counter("packets"), refusedQuestions: deps.Scope.Counter("handon_refused"),
-		configWake: make(chan struct{}, 1),
+		configWake: make(chan struct{}, 1), fetchTable: fetchTable,
 	}
 	b.keeper = checkpoint.NewKeeper(settings.Checkpoint)
 	b.peers = NewPeers(deps.Clock.Now(), Peer{
--- a/internal/process/streambalancer/config.go
+++ b/internal/process/streambalancer/config.go
@@ -2,14 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"time"
 
 	"github.com/wagtailtray/wagtailtray/internal/process/directory"
 	"github.com/wagtailtray/wagtailtray/internal/version/routing"
-	"github.com/wagtailtray/wagtailtray/pkg/platform"
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
 )
 
 const (
@@ -29,6 +29,9 @@
 	// a second.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 800 * time.Millisecond
+	// sparseRetryDelay bounds the delay after a failed call where another balancer watches
+	// the platform or will notice its return.
+	sparseRetryDelay = 2 * time.Second
 	// peerWait is how long a starting process waits for a peer that has the configuration
 	// before it reads the platform itself.
 	peerWait = 40 * time.Millisecond
@@ -37,6 +40,8 @@
 	coalesceDelay = 250 * time.Millisecond
 	// idlePollInterval is the maximum sleep of a balancer that does not watch.
 	idlePollInterval = 500 * time.Millisecond
+	// minWatchPoll is the minimum sleep of a balancer that waits for its turn to watch.
+	minWatchPoll = 10 * time.Millisecond
 	// minRegisterDelay and maxRegisterDelay bound the exponential backoff after a failed
 	// registration. Without the directory a balancer knows only its seeds.
 	minRegisterDelay = 200 * time.Millisecond
@@ -55,11 +60,27 @@
 			b.waitForConfig(ctx, pause)
 			continue
 		}
-		b.waitForConfig(ctx, retry/2+rand.N(retry/2))
+		b.waitForConfig(ctx, b.delayRetry(retry))
 		retry = min(2*retry, maxRetryDelay)
 	}
 }
 
+// delayRetry returns how long to wait after a failed call. After a second failure in a row a
+// balancer that need not be the first to notice that the platform answers again retries
+// sparsely. Without a configuration it must: callers wait.
+func (b *Balancer) delayRetry(delay time.Duration) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.deps.Clock.Now()
+	again := b.retryWatchAt != 0 && !b.watching
+	if again && b.steerer.Table() != nil && !b.peers.AwaitsPlatform(now) {
+		delay = sparseRetryDelay
+	}
+	delay = delay/2 + rand.N(delay/2)
+	b.retryWatchAt = now + clock.FromDuration(delay)
+	return delay
+}
+
 // waitForConfig sleeps, but returns early when a peer announces a later version.
 func (b *Balancer) waitForConfig(ctx context.Context, d time.Duration) {
 	select {
@@ -83,85 +104,50 @@
 	now := b.deps.Clock.Now()
 	version, table := b.tableVersion(), b.steerer.Table()
 	peer, later := b.peers.Newest(now, version)
-	watches := b.peers.Watches(now)
+	watchDelay := b.peers.WatchDelay(now)
+	watching, retryDelay := b.watching, b.retryWatchAt.Sub(now)
 	b.mu.Unlock()
+	watches := watchDelay == 0
 	switch {
 	case later:
-		timeout := callTimeout
-		if table == nil {
-			timeout = initialFetchTimeout
-		}
-		t, err := fetchTable(ctx, peer.Address, version, timeout)
-		if err != nil {
-			b.mu.Lock()
-			b.peers.FetchFailed(b.deps.Clock.Now(), peer.Address)
-			b.mu.Unlock()
-		}
-		return 0, b.applyTable(t, err, "peer")
+		return 0, b.fetchFromPeer(ctx, peer.Address, version, table == nil)
 	case table == nil:
-		t, err := b.readTable(ctx)
-		b.setWatching(platformAnswered(err))
-		return 0, b.applyTable(t, err, "platform")
+		return 0, b.readTable(ctx, watches)
+	case watches && !watching && retryDelay > 0:
+		return retryDelay.Duration(), true
+	case watches && !watching:
+		return 0, b.startWatch(ctx)
 	case watches:
 		return b.watchTable(ctx, table)
 	default:
 		b.setWatching(false)
-		return idlePollInterval, true
+		return min(max(watchDelay.Duration(), minWatchPoll), idlePollInterval), true
 	}
 }
 
-func (b *Balancer) readTable(ctx context.Context) (*routing.Table, error) {
-	ctx, cancel := context.WithTimeout(ctx, initialReadTimeout+rand.N(initialReadTimeout))
-	defer cancel()
-	return b.deps.Source.Read(ctx)
-}
-
-// watchTable waits for a version after the current one. It returns early if a peer
-// announces a later version, which is then fetched from that peer.
-//
-// The wait starts from the revision at which the last one ended. The version's own revision
-// may have been dropped from the platform's history, and waits from there would fail at
-// once.
-func (b *Balancer) watchTable(ctx context.Context, current *routing.Table) (time.Duration, bool) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	stop := make(chan struct{})
-	defer close(stop)
-	go func() {
-		select {
-		case <-b.configWake:
-			b.wakeConfig()
-			cancel()
-		case <-stop:
-		}
-	}()
-	b.setWatching(true)
-	change, err := b.deps.Source.Wait(ctx, max(b.seenRevision, current.Revision))
-	if ctx.Err() != nil {
-		return 0, true
+// fetchFromPeer gets a version later than the given one from a peer and activates it.
+func (b *Balancer) fetchFromPeer(ctx context.Context, from netip.AddrPort, above uint64, initial bool) bool {
+	timeout := callTimeout
+	if initial {
+		timeout = initialFetchTimeout
 	}
-	b.setWatching(platformAnswered(err))
-	b.seenRevision = max(b.seenRevision, change.Revision)
-	if change.Table == nil && err == nil {
-		return 0, true
+	t, err := b.fetchTable(ctx, from, above, timeout)
+	if err != nil {
+		b.mu.Lock()
+		b.peers.FetchFailed(b.deps.Clock.Now(), from)
+		b.mu.Unlock()
 	}
-	return coalesceDelay, b.applyTable(change.Table, err, "platform")
-}
-
-// platformAnswered reports whether the platform answered a call, even if with a version
-// that cannot be read: another balancer could not read it either.
-func platformAnswered(err error) bool {
-	return !errors.Is(err, platform.ErrUnavailable)
+	return b.applyTable(t, err, "peer")
 }
 
-func (b *Balancer) setWatching(on bool) {
-	b.mu.Lock()
-	changed := b.watching != on
-	b.watching = on
-	b.mu.Unlock()
-	if changed {
-		b.deps.Log.Info().Str("event", "watch").Bool("watching", on).Send()
-	}
+// readTable reads the current version from the platform and activates it. An answer starts
+// the watch of a balancer whose turn it is.
+func (b *Balancer) readTable(ctx context.Context, watches bool) bool {
+	ctx, cancel := context.WithTimeout(ctx, initialReadTimeout+rand.N(initialReadTimeout))
+	defer cancel()
+	t, err := b.deps.Source.Read(ctx)
+	b.setWatching(watches && platformAnswered(err))
+	return b.applyTable(t, err, "platform")
 }
 
 // applyTable activates a routing table and notifies the neighbours.
--- a/internal/process/streambalancer/evacuations.go
+++ b/internal/process/streambalancer/evacuations.go
@@ -57,20 +57,43 @@
 	case !known.Known():
 		return 0, b.readEvacuations(ctx)
 	case watches:
-		later, err := b.deps.Evacuations.Wait(ctx, known)
-		if errors.Is(err, platform.ErrGone) {
-			return 0, b.readEvacuations(ctx)
-		}
-		if err != nil {
-			return 0, err
-		}
-		b.setEvacuations(later, "platform")
-		return 0, nil
+		return 0, b.awaitEvacuations(ctx, known)
 	default:
 		return idlePollInterval, nil
 	}
 }
 
+// awaitEvacuations waits for the next snapshot. The wait ends early together with the watch
+// of the configuration: a store that has stopped answering swallows both.
+func (b *Balancer) awaitEvacuations(ctx context.Context, known evacuation.Snapshot) error {
+	wait, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if !b.setEvacuationWait(cancel) {
+		return nil
+	}
+	later, err := b.deps.Evacuations.Wait(wait, known)
+	b.setEvacuationWait(nil)
+	switch {
+	case wait.Err() != nil && ctx.Err() == nil:
+		return nil
+	case errors.Is(err, platform.ErrGone):
+		return b.readEvacuations(ctx)
+	case err != nil:
+		return err
+	}
+	b.setEvacuations(later, "platform")
+	return nil
+}
+
+// setEvacuationWait sets how to cancel the pending wait. It returns false if the watch of
+// the configuration has ended.
+func (b *Balancer) setEvacuationWait(cancel context.CancelFunc) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cancelEvacuationWait = cancel
+	return b.watching
+}
+
 func (b *Balancer) readEvacuations(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, initialReadTimeout+rand.N(initialReadTimeout))
 	defer cancel()
--- a/internal/process/streambalancer/evacuations_test.go
+++ b/internal/process/streambalancer/evacuations_test.go
@@ -174,6 +174,8 @@
 
 func (unreadableSource) Read(context.Context) (*routing.Table, error) { return nil, routing.ErrInvalid }
 
+func (unreadableSource) Ping(context.Context) error { return nil }
+
 func (unreadableSource) Wait(context.Context, uint64) (Change, error) {
 	return Change{}, routing.ErrInvalid
 }
--- a/internal/process/streambalancer/news.go
+++ b/internal/process/streambalancer/news.go
@@ -184,6 +184,7 @@
 	if n == nil || n.Self == nil {
 		return
 	}
+	watched := b.peers.IsWatcher(from)
 	isNew := b.peers.Update(now, Peer{
 		Address: from, Name: n.Self.Name, Domain: n.Self.Domain, CPUShare: n.Self.Share, Epoch: n.Epoch, Version: n.Version,
 		Watching: n.Watching, Leaving: n.Leaving, Settled: n.Settled, ChoseThis: n.Chose,
@@ -210,6 +211,7 @@
 	if isNew && n.Self.Domain == b.settings.Domain {
 		b.sendOwners(now, from)
 	}
+	b.handleWatch(now, from, watched)
 	if n.Version > b.tableVersion() {
 		b.wakeConfig()
 	}
--- a/internal/process/streambalancer/peers.go
+++ b/internal/process/streambalancer/peers.go
@@ -94,6 +94,9 @@
 	// higherRankWatchedAt is when a balancer of higher rank was last known to watch the
 	// platform.
 	higherRankWatchedAt clock.Millis
+	// watchEndedAt is when a balancer of the local failure domain announced that it no
+	// longer watches the platform.
+	watchEndedAt clock.Millis
 	// confirmed reports whether a settled balancer has sent this one all targets.
 	confirmed bool
 	// covered holds the views of others whose targets this balancer knows completely.
@@ -170,6 +173,9 @@
 		p.processSeenAt = now
 	}
 	changed := isNew || p.Leaving != n.Leaving || p.Name != n.Name
+	if p.isWatcher() && p.Domain == ps.self.Domain && (!n.Watching || n.Leaving) {
+		ps.watchEndedAt = now
+	}
 	switch {
 	case n.Watching:
 		p.notWatchingSince = 0
--- a/internal/process/streambalancer/roles.go
+++ b/internal/process/streambalancer/roles.go
@@ -1,35 +1,84 @@
 package streambalancer
 
 import (
+	"net/netip"
+
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
 )
 
-// watchGracePeriod is how long a balancer of higher rank may be without the platform before
-// this one watches the platform as well.
-const watchGracePeriod = 1200 * clock.Millis(1)
+const (
+	// watchGracePeriod is how long a balancer of higher rank may be without the platform
+	// before the next one tries to watch it.
+	watchGracePeriod = 200 * clock.Millis(1)
+	// maxTakeoverDelay is the delay that those of low rank approach. The platform may
+	// serve any balancer, and that one must have a new version in time.
+	maxTakeoverDelay = 4 * watchGracePeriod
+)
+
+// takeoverDelay returns how long a balancer leaves the watch to a number of balancers of
+// higher rank that are without the platform. The first ones take turns; otherwise all would
+// replace a watcher that stops.
+func takeoverDelay(higher clock.Millis) clock.Millis {
+	return maxTakeoverDelay * higher / (higher + 3)
+}
 
 // Watches reports whether this balancer watches the platform for changes, because no live
 // neighbour of higher rank in its failure domain does.
 //
-// A balancer that is partitioned from the platform announces that it does not watch, and
-// the next one starts after a grace period. If both watch for a moment, the only cost is an
-// additional call. Each balancer waits one grace period for each of higher rank; otherwise
-// all would replace a watcher that stops.
+// A balancer that the platform does not answer announces that it does not watch, and the
+// next one tries after a grace period. If both watch for a moment, the only cost is an
+// additional call.
 func (ps *Peers) Watches(now clock.Millis) bool {
-	before := clock.Millis(0)
+	return ps.WatchDelay(now) == 0
+}
+
+// WatchDelay returns how long after now this balancer is to watch the platform, unless news
+// come earlier; zero if it watches now.
+func (ps *Peers) WatchDelay(now clock.Millis) clock.Millis {
+	delay, higher := clock.Millis(0), clock.Millis(0)
 	for _, p := range ps.known {
-		if p.Domain != ps.self.Domain || !p.Live(now) || compareRank(p, &ps.self) > 0 {
+		if p.Domain != ps.self.Domain || compareRank(p, &ps.self) > 0 {
+			continue
+		}
+		if p.isWatcher() {
+			silentAt := p.HeardAt + peerTimeout
+			ps.higherRankWatchedAt = max(ps.higherRankWatchedAt, min(now, silentAt))
+			delay = max(delay, silentAt+1-now)
 			continue
 		}
-		if p.Watching {
-			ps.higherRankWatchedAt = now
+		if p.Live(now) {
+			higher++
+			delay = max(delay, p.notWatchingSince+watchGracePeriod-now)
+		}
+	}
+	ended := max(ps.higherRankWatchedAt, ps.watchEndedAt)
+	return max(delay, ended+takeoverDelay(higher)-now, 0)
+}
+
+// isWatcher reports whether the balancer has last announced that it watches the platform.
+func (p *Peer) isWatcher() bool {
+	return p.Watching && !p.Leaving
+}
+
+// IsWatcher reports whether a balancer has last announced that it watches the platform.
+func (ps *Peers) IsWatcher(at netip.AddrPort) bool {
+	p := ps.known[at]
+	return p != nil && p.isWatcher()
+}
+
+// AwaitsPlatform reports whether it is for this balancer to notice soon that the platform
+// answers again: no live one watches it, and none of higher rank in its failure domain
+// tries as well.
+func (ps *Peers) AwaitsPlatform(now clock.Millis) bool {
+	for _, p := range ps.known {
+		if !p.Live(now) {
+			continue
 		}
-		if p.Watching || now.Sub(p.notWatchingSince) < watchGracePeriod {
+		if p.Watching || p.Domain == ps.self.Domain && compareRank(p, &ps.self) < 0 {
 			return false
 		}
-		before++
 	}
-	return now.Sub(ps.higherRankWatchedAt) >= before*watchGracePeriod
+	return true
 }
 
 // evacuationWatchDomains is the number of failure domains in which a balancer watches the
--- a/internal/process/streambalancer/tick.go
+++ b/internal/process/streambalancer/tick.go
@@ -37,6 +37,7 @@
 	b.reportLateTick(now)
 	b.steerer.Tick(now)
 	b.flush()
+	b.expireWatch(now)
 	b.sendDueNews(now)
 	b.sendDueSummaries(now)
 	if b.traffic.LogIfDue(now, false) {
--- /dev/null
+++ b/internal/process/streambalancer/watch.go
@@ -0,0 +1,162 @@
+package streambalancer
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"time"
+
+	"github.com/wagtailtray/wagtailtray/internal/version/routing"
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+	"github.com/wagtailtray/wagtailtray/pkg/platform"
+)
+
+// A balancer tells the others that it watches the platform, so that they need not. What it
+// tells rests on answers: it starts with an answered read, and ends when a call of the watch
+// fails or watchLease has passed since the last answer. A pending watch proves nothing, so
+// the platform is pinged beside it.
+
+const (
+	// pingInterval is the time after an answer until the platform is pinged, and
+	// pingTimeout how long a ping may take: a slow platform needs some 400 ms.
+	pingInterval = 1100 * clock.Millis(1)
+	pingTimeout  = 600 * clock.Millis(1)
+	// pingRetryDelay is the delay after a ping that was refused at once.
+	pingRetryDelay = 100 * time.Millisecond
+	// watchLease is how long a balancer counts as watching after an answer. Together with
+	// maxTakeoverDelay it stays below the time within which a version must be active.
+	watchLease = pingInterval + pingTimeout
+)
+
+// platformAnswered reports whether the platform answered a call, even if with a version
+// that cannot be read: another balancer could not read it either.
+func platformAnswered(err error) bool {
+	return !errors.Is(err, platform.ErrUnavailable)
+}
+
+// startWatch tries whether the platform answers this balancer. A ping goes first: while the
+// platform is unavailable, many balancers try, and a ping costs little. Its answer may come
+// from a replica and is not enough.
+func (b *Balancer) startWatch(ctx context.Context) bool {
+	err := b.ping(ctx, pingTimeout)
+	if !platformAnswered(err) {
+		return b.applyTable(nil, err, "platform")
+	}
+	return b.readTable(ctx, true)
+}
+
+func (b *Balancer) ping(ctx context.Context, timeout clock.Millis) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
+	defer cancel()
+	return b.deps.Source.Ping(ctx)
+}
+
+// watchTable waits for a version after the current one. It returns early if a peer
+// announces a later version, which is then fetched from that peer, or if the platform stops
+// answering.
+//
+// The wait starts from the revision at which the last one ended. The version's own revision
+// may have been dropped from the platform's history, and waits from there would fail at
+// once.
+func (b *Balancer) watchTable(ctx context.Context, current *routing.Table) (time.Duration, bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-b.configWake:
+			b.wakeConfig()
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	go b.renewWatch(ctx, cancel)
+	change, err := b.deps.Source.Wait(ctx, max(b.seenRevision, current.Revision))
+	if ctx.Err() != nil {
+		return 0, true
+	}
+	b.setWatching(platformAnswered(err))
+	b.seenRevision = max(b.seenRevision, change.Revision)
+	if change.Table == nil && err == nil {
+		return 0, true
+	}
+	return coalesceDelay, b.applyTable(change.Table, err, "platform")
+}
+
+// renewWatch pings the platform during a wait, and cancels the wait if the platform no
+// longer answers.
+func (b *Balancer) renewWatch(ctx context.Context, cancel context.CancelFunc) {
+	pause := b.untilPing().Duration()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		answered := platformAnswered(b.ping(ctx, b.untilPing()+pingTimeout))
+		switch {
+		case ctx.Err() != nil:
+			return
+		case answered:
+			b.setWatching(true)
+			pause = pingInterval.Duration()
+		case b.untilPing()+pingTimeout > 0:
+			pause = pingRetryDelay
+		default:
+			b.setWatching(false)
+			cancel()
+			return
+		}
+	}
+}
+
+// untilPing returns the time until the platform must be pinged, negative if that time has
+// passed.
+func (b *Balancer) untilPing() clock.Millis {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return pingInterval - b.deps.Clock.Now().Sub(b.answeredAt)
+}
+
+// setWatching records whether the platform has answered this balancer while it watches.
+func (b *Balancer) setWatching(on bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.updateWatching(b.deps.Clock.Now(), on)
+}
+
+// updateWatching is setWatching for a caller that holds the lock. The other balancers are
+// notified at once: one of them takes over, or ends its own watch.
+func (b *Balancer) updateWatching(now clock.Millis, on bool) {
+	if on {
+		b.answeredAt, b.retryWatchAt = now, 0
+	}
+	if b.watching == on {
+		return
+	}
+	b.watching = on
+	b.deps.Log.Info().Str("event", "watch").Bool("watching", on).Send()
+	if !on && b.cancelEvacuationWait != nil {
+		b.cancelEvacuationWait()
+	}
+	b.broadcastNews(now)
+}
+
+// handleWatch handles news of a balancer that begins or ends its watch: this one takes over,
+// or leaves the watch to one of higher rank. The caller holds the lock.
+func (b *Balancer) handleWatch(now clock.Millis, from netip.AddrPort, watched bool) {
+	switch watches := b.peers.IsWatcher(from); {
+	case watched && !watches && !b.watching:
+		b.retryWatchAt = 0
+		b.wakeConfig()
+	case !watched && watches && b.watching && !b.peers.Watches(now):
+		b.wakeConfig()
+	}
+}
+
+// expireWatch ends the watch if the last answer is too old, as after a call to a peer that
+// took long. The caller holds the lock.
+func (b *Balancer) expireWatch(now clock.Millis) {
+	if b.watching && now.Sub(b.answeredAt) > watchLease {
+		b.updateWatching(now, false)
+	}
+}
