stream: count an answer whose end overtakes its data

An answer's packets may arrive in reverse order. The agent then saw the end of the flow first, took the request for ended without an answer, and counted nothing: neither the latency nor the work of the request, and no success for outlier detection.

The sequence number of the end tells whether data precedes it. A flow that the target ends without data still counts as no answer. Counting each end as an answer was ruled out: a target that closes each flow would look healthy.

--- a/internal/connection/stream/outlier_test.go
+++ b/internal/connection/stream/outlier_test.go
@@ -211,3 +211,25 @@
 		t.Errorf("one target gets all openings while the other two fail: %v", counts)
 	}
 }
+
+// Guards against answers being taken for none where the end of the flow overtakes its data: a
+// target on trial would stay there although it answers.
+func TestAnswerWhoseEndOvertakesItsData(t *testing.T) {
+	f := newScriptedTarget(t)
+	for range 3 {
+		f.request(false)
+	}
+	f.advance(baseEjectionTime + 100)
+	c, ok := f.openAndRequest()
+	if !ok {
+		t.Fatal("no flow was admitted on trial")
+	}
+	f.now += 20
+	f.sendFromTarget(c, segment.Segment{Flags: segment.Ends | segment.Acks, Seq: 906})
+	f.sendFromTarget(c, segment.Segment{Flags: segment.Acks, Seq: 6, Size: 900})
+	for range 2 * trialFlows {
+		if _, ok := f.openAndRequest(); !ok {
+			t.Fatal("the target is still on trial after its answer")
+		}
+	}
+}
--- a/internal/connection/stream/tracker.go
+++ b/internal/connection/stream/tracker.go
@@ -53,17 +53,37 @@
 	// shown that it holds the flow.
 	unverified bool
 	ack        uint32
-	lastIn     clock.Millis
-	lastOut    clock.Millis
-	openedAt   clock.Millis
-	busySince  clock.Millis
-	endedAt    clock.Millis
+	// sentEnd is the sequence number after the target's last byte seen so far; zero if
+	// none was.
+	sentEnd   uint32
+	lastIn    clock.Millis
+	lastOut   clock.Millis
+	openedAt  clock.Millis
+	busySince clock.Millis
+	endedAt   clock.Millis
 }
 
 func (f *trackedFlow) lastPacket() clock.Millis {
 	return max(f.lastIn, f.lastOut)
 }
 
+// endsAfterData reports whether the target's packet ends the flow after data that has not
+// arrived yet: packets of one answer may overtake each other.
+func (f *trackedFlow) endsAfterData(seg *segment.Segment) bool {
+	return seg.Flags.Has(segment.Ends) && f.sentEnd != 0 && int32(seg.Seq-f.sentEnd) > 0
+}
+
+// recordSent records a packet of the target.
+func (f *trackedFlow) recordSent(seg *segment.Segment) {
+	end := seg.Seq + uint32(seg.Size)
+	if seg.Flags.Has(segment.Opens) {
+		end++
+	}
+	if f.sentEnd == 0 || int32(end-f.sentEnd) > 0 {
+		f.sentEnd = end
+	}
+}
+
 // Tracker tracks the flows and the state of an agent's target and decides what the agent
 // does with each packet and parcel. It is not safe for concurrent use.
 type Tracker struct {
@@ -288,8 +308,10 @@
 		f.seq, f.accepted = seg.Seq, true
 		tr.confirmOwnership(id, f)
 	}
-	if f.busySince != 0 && f.endedAt == 0 && (seg.Size > 0 || seg.Flags.Has(segment.Resets)) {
-		tr.recordRequestEnd(now, id, f, seg.Size > 0)
+	answered := seg.Size > 0 || f.endsAfterData(seg)
+	f.recordSent(seg)
+	if f.busySince != 0 && f.endedAt == 0 && (answered || seg.Flags.Has(segment.Resets)) {
+		tr.recordRequestEnd(now, id, f, answered)
 	}
 	if seg.Size > 0 || seg.Flags&(segment.Ends|segment.Resets) != 0 {
 		f.busySince = 0
