stream: place by expected completion under load, and leave a short domain in proportion

From there on the cost of a target passes from the fraction of its slots in use to the time that it needs for what it has got, by its own measured work, what was placed since its report and what it has answered since. A target that hangs counts by the time for which its slots have been in use. A request that overtakes older ones in all slots was refused; it no longer makes a full target look fast.

A short failure domain sends away the share that it lacks, as far as others have room, instead of all flows once its best target passes a threshold.

Callers saw p99 of 409 ms in one failure domain beside 218 ms in another, and 1,201 refused tries.

--- a/internal/connection/stream/candidates.go
+++ b/internal/connection/stream/candidates.go
@@ -1,6 +1,9 @@
 package stream
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // candidate is a target for a new flow with its cost and the increase in cost per flow.
 type candidate struct {
@@ -15,6 +18,20 @@
 type candidates struct {
 	all  []candidate
 	best float64
+	// margin is the difference in cost below which targets count as equal.
+	margin float64
+	// placed is the largest load of the flows placed at one of the targets since its last
+	// report.
+	placed float64
+}
+
+// keep drops the candidates that do not fulfil a condition.
+func (c *candidates) keep(wanted func(*Target) bool) {
+	c.all = slices.DeleteFunc(c.all, func(x candidate) bool { return !wanted(x.target) })
+	c.best = math.Inf(1)
+	for i := range c.all {
+		c.best = min(c.best, c.all[i].cost)
+	}
 }
 
 func (c *candidates) add(x candidate) {
@@ -54,9 +71,9 @@
 
 // divide computes each target's share of a number of flows such that all targets with a
 // share end up equally loaded, and returns the sum of the shares. Targets within
-// equalCostMargin of the minimum cost count as equal.
+// the margin of the minimum cost count as equal.
 func (c *candidates) divide(flows float64) float64 {
-	level := max(c.fillLevel(flows), c.best+equalCostMargin)
+	level := max(c.fillLevel(flows), c.best+c.margin)
 	total := 0.0
 	for i := range c.all {
 		x := &c.all[i]
--- a/internal/connection/stream/choose.go
+++ b/internal/connection/stream/choose.go
@@ -108,34 +108,40 @@
 }
 
 // Choose returns a target for a new flow, or false if there is none: one of the least
-// loaded targets of the balancer's own failure domain, unless that is overloaded and a
-// remote one is not. It skips targets that were already tried, are suspected or not known
-// to be ready, or must not get the flow, and failing ones unless most are failing.
-//
-// Flows placed locally since the last reports also count against remote targets: when all
-// callers reconnect at once, remote balancers place as many flows there.
+// loaded targets of the balancer's own failure domain, unless the flow leaves it. It skips
+// targets that were already tried, are suspected or not known to be ready, or must not get
+// the flow, and failing ones unless most are failing.
 func (ts *Targets) Choose(now clock.Millis, req PlacementRequest) (*Target, bool) {
-	near, far := candidates{all: ts.near[:0]}, candidates{all: ts.far[:0]}
-	targets := ts.useService(now, req.Service)
+	g := ts.useGroup(now, req.Service)
+	if g == nil {
+		return nil, false
+	}
+	load := ts.serviceLoad(now, g)
+	near, far := ts.candidates(now, g.targets, load, &req)
+	from := ts.leave(load, &near, &far)
+	from.margin = load.margin()
+	return from.choose(ts.random.Float64(), ts.balancers)
+}
+
+// candidates returns the local and the remote targets that may get a flow.
+func (ts *Targets) candidates(now clock.Millis, targets []*Target, load *serviceLoad, req *PlacementRequest) (near, far candidates) {
+	near.all, far.all = ts.near[:0], ts.far[:0]
 	l := flowLoads(targets)
 	useFailing := mostFailing(now, targets)
-	placed := 0.0
 	for _, t := range targets {
-		if !ts.usable(now, t, &req, useFailing) {
+		if !ts.usable(now, t, req, useFailing) {
 			continue
 		}
+		local := t.Domain == ts.domain
 		c := candidate{target: t, cost: ts.cost(now, t, l), step: t.costStep(now, l)}
-		if t.Domain != ts.domain {
+		load.adjust(now, &c, l, local)
+		if !local {
 			far.add(c)
 			continue
 		}
 		near.add(c)
-		placed = max(placed, l.fresh*t.placed/float64(max(t.Slots, 1)))
+		near.placed = max(near.placed, l.fresh*t.placed/float64(max(t.Slots, 1)))
 	}
 	ts.near, ts.far = near.all, far.all
-	from := &near
-	if len(near.all) == 0 || near.best > overloadThreshold && len(far.all) > 0 && far.best+placed+crossDomainMargin < near.best {
-		from = &far
-	}
-	return from.choose(ts.random.Float64(), ts.balancers)
+	return near, far
 }
--- a/internal/connection/stream/outlier_test.go
+++ b/internal/connection/stream/outlier_test.go
@@ -233,3 +233,19 @@
 		}
 	}
 }
+
+// Guards against a full target that refuses requests at once being taken for the fastest one.
+func TestRefusedRequestsAreNoWork(t *testing.T) {
+	f := newScriptedTarget(t)
+	f.advance(50)
+	for range 3 {
+		f.openAndRequest()
+	}
+	for range 20 {
+		f.request(true)
+		f.tracker.Tick(f.now)
+	}
+	if work := f.tracker.work.mean(); work != 0 {
+		t.Errorf("the target has finished no request, and its work is taken for %.0f ms", work)
+	}
+}
--- a/internal/connection/stream/report.go
+++ b/internal/connection/stream/report.go
@@ -37,7 +37,9 @@
 func (tr *Tracker) recordRequestEnd(now clock.Millis, id segment.Flow, f *trackedFlow, answered bool) {
 	u := &tr.upstream
 	if answered {
-		tr.work.addAnswer()
+		if !tr.overtook(f) {
+			tr.work.addAnswer()
+		}
 		tr.recordLatency(now.Sub(f.busySince))
 		if u.outlier.recordSuccess(now) {
 			tr.recordCondition(now, "answers again")
@@ -59,6 +61,21 @@
 	}
 }
 
+// overtook reports whether a request ended before older ones that take all slots. The target
+// has then refused it: it would look fast because it is full if that counted as its work.
+func (tr *Tracker) overtook(f *trackedFlow) bool {
+	left := max(tr.upstream.slots, 1)
+	for _, o := range tr.busyFlows {
+		if o.busySince < f.busySince {
+			left--
+		}
+		if left == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // recordLatency records the latency of a request.
 func (tr *Tracker) recordLatency(latency clock.Millis) {
 	tr.out.Latencies = append(tr.out.Latencies, latency)
--- a/internal/connection/stream/summary.go
+++ b/internal/connection/stream/summary.go
@@ -57,7 +57,7 @@
 
 // summaryEntry returns the entry of a summary for a report.
 func summaryEntry(a netip.AddrPort, r *wire.Report, age, silent clock.Millis) *wire.Entry {
-	return &wire.Entry{
+	e := &wire.Entry{
 		Address: segment.AppendAddress(nil, a), Age: uint32(max(age, 0)), Silent: uint32(max(silent, 0)),
 		Report: &wire.Report{
 			Name: r.Name, Service: r.Service, Epoch: r.Epoch, Sequence: r.Sequence, Born: r.Born,
@@ -65,6 +65,10 @@
 			Room: r.Room, Serving: r.Serving,
 		},
 	}
+	if float64(r.Busy) > lowLoad*busyScale*float64(max(r.Slots, 1)) {
+		e.Report.Work, e.Report.Running = r.Work, r.Running
+	}
+	return e
 }
 
 // report returns the target's state as last reported by its agent.
--- a/internal/connection/stream/targets.go
+++ b/internal/connection/stream/targets.go
@@ -25,6 +25,7 @@
 	targets []*Target
 	// lastUsed is when this balancer last had an opening or a search for the service.
 	lastUsed clock.Millis
+	load     serviceLoad
 }
 
 // departure is the last report of a target that left.
@@ -112,12 +113,19 @@
 // useService returns the targets of a service and marks the service as used by this
 // balancer.
 func (ts *Targets) useService(now clock.Millis, service string) []*Target {
+	if g := ts.useGroup(now, service); g != nil {
+		return g.targets
+	}
+	return nil
+}
+
+// useGroup returns the group of a service, or nil, and marks the service as used.
+func (ts *Targets) useGroup(now clock.Millis, service string) *serviceGroup {
 	g := ts.groups[service]
-	if g == nil {
-		return nil
+	if g != nil {
+		g.lastUsed = now
 	}
-	g.lastUsed = now
-	return g.targets
+	return g
 }
 
 func (ts *Targets) insert(t *Target) {
--- a/internal/connection/stream/work.go
+++ b/internal/connection/stream/work.go
@@ -32,13 +32,26 @@
 	m.answered++
 }
 
-// minMeasuredAnswers is the number of answers below which the measurement is too coarse.
-const minMeasuredAnswers = 4
+const (
+	// minMeasuredAnswers is the number of answers below which the measurement is too coarse.
+	minMeasuredAnswers = 4
+	// stallTime is the slot time in milliseconds with fewer answers after which a target
+	// counts as stalled: far more than a request that is slow by chance.
+	stallTime = 1000
+)
 
 // mean returns the mean work of a request in milliseconds, or zero if it is not known.
+//
+// A target that hangs gives no answers, so it is compared with others by the time for which
+// its slots have been in use. Once its callers have left, that time decays, and the target
+// is tried again.
 func (m *workMeter) mean() float64 {
-	if m.answered < minMeasuredAnswers {
+	switch {
+	case m.answered >= minMeasuredAnswers:
+		return m.slotTime / m.answered
+	case m.slotTime >= stallTime:
+		return m.slotTime / (m.answered + 1)
+	default:
 		return 0
 	}
-	return m.slotTime / m.answered
 }
