stream: record when flows begin and cease to leave a short failure domain

Operators saw traffic between failure domains rise without a reason in the log. An event `short` names the service and the share.

--- a/internal/connection/stream/doc.go
+++ b/internal/connection/stream/doc.go
@@ -29,6 +29,16 @@
 // caller receives T1's answer first and acknowledges it. The balancer sends that packet
 // to T2, whose agent returns it; a search finds T1.
 //
+// # Load
+//
+// While targets have free slots, the cost of a target is the fraction of its slots in use
+// and flows stay in their failure domain. Once a target has none, the cost is the time until
+// the target has answered what it has got, and a failure domain that is short sends a share
+// of its flows to others that have room.
+//
+// For example, T1 takes three times as long as T2 and T3 and all have four requests in
+// progress. The next flows go to T2 and T3.
+//
 // # Suspicion
 //
 // A target whose agent does not answer probes is suspected. It gets no opening
--- a/internal/connection/stream/domains.go
+++ b/internal/connection/stream/domains.go
@@ -87,6 +87,8 @@
 type split struct {
 	remote    [distances]remoteShare
 	updatedAt clock.Millis
+	// recorded is set if the last recorded event says that flows leave.
+	recorded bool
 }
 
 // update computes the shares anew from the last reports.
@@ -127,6 +129,33 @@
 	return 0, false
 }
 
+// total returns the share of flows that leaves.
+func (s *split) total() float64 {
+	total := 0.0
+	for _, r := range s.remote {
+		total += r.share
+	}
+	return total
+}
+
+// recordShortages records for which services flows have begun or ceased to leave the failure
+// domain.
+func (s *Steerer) recordShortages() {
+	for name, g := range s.Targets.groups {
+		p := &g.load.split
+		share := p.total()
+		if p.recorded == (share > 0) {
+			continue
+		}
+		p.recorded = share > 0
+		reason := "flows stay"
+		if p.recorded {
+			reason = "flows leave the failure domain"
+		}
+		s.out.record(Event{Kind: Short, Service: name, Reason: reason, Count: int(math.Ceil(100 * share))})
+	}
+}
+
 // meanWeight returns the weight of the last period in an exponentially weighted mean.
 func meanWeight(period, window clock.Millis) float64 {
 	return 1 - math.Exp(-float64(period)/float64(window))
--- a/internal/connection/stream/domains_test.go
+++ b/internal/connection/stream/domains_test.go
@@ -51,3 +51,20 @@
 		}
 	}
 }
+
+// Guards against operators not seeing that flows leave a failure domain.
+func TestShortagesAreRecorded(t *testing.T) {
+	s := NewSteerer(testNow, Settings{Domain: "a", MaxFlows: 10, FlowTTL: testFlowTTL})
+	s.Targets.insert(&Target{Service: "one"})
+	var reasons []string
+	for _, share := range []float64{0, 0.2, 0.3, 0} {
+		s.Targets.groups["one"].load.split.remote[sameRegion].share = share
+		s.recordShortages()
+		for _, e := range s.TakeOutcome().Events {
+			reasons = append(reasons, e.Reason)
+		}
+	}
+	if len(reasons) != 2 || reasons[0] == reasons[1] {
+		t.Errorf("recorded: %q, want one event when flows begin to leave and one when they cease", reasons)
+	}
+}
--- a/internal/connection/stream/outcome.go
+++ b/internal/connection/stream/outcome.go
@@ -54,6 +54,7 @@
 	Restored        EventKind = "restored"
 	Queued          EventKind = "waits"
 	Evacuation      EventKind = "evacuation"
+	Short           EventKind = "short"
 )
 
 // Event is a decision with the inputs that led to it.
--- a/internal/connection/stream/steer.go
+++ b/internal/connection/stream/steer.go
@@ -362,6 +362,7 @@
 		s.out.send(t.Address, &wire.Parcel{Verb: wire.Verb_VERB_PROBE, Report: r})
 	}
 	s.recordSuspicions(now)
+	s.recordShortages()
 	for _, x := range s.searches {
 		if x.speculationPending && !x.ended {
 			s.speculate(now, x)
--- a/internal/process/decisions/timeline.go
+++ b/internal/process/decisions/timeline.go
@@ -53,7 +53,7 @@
 var stateEvents = map[string]bool{
 	string(stream.TargetNew): true, string(stream.TargetSuspected): true, string(stream.TargetRecovered): true,
 	string(stream.TargetGone): true, string(stream.Upstream): true, "version": true, "settled": true,
-	string(stream.Restored): true, string(stream.Evacuation): true, "relay": true, "keeper": true, "nocheckpoint": true,
+	string(stream.Restored): true, string(stream.Evacuation): true, string(stream.Short): true, "relay": true, "keeper": true, "nocheckpoint": true,
 	"start": true, "stop": true, "watch": true, "noconfiguration": true, "peer": true,
 }
 
