stream: measure work over a second in place of two

A target that turns slow kept its old work for most of two seconds, and got as many requests as before.

A benchmark covers openings while no target has a free slot.

--- a/internal/connection/stream/bench_test.go
+++ b/internal/connection/stream/bench_test.go
@@ -41,6 +41,29 @@
 	}
 }
 
+// BenchmarkLoadedOpening measures the same while no target has a free slot and flows leave
+// the failure domain.
+func BenchmarkLoadedOpening(b *testing.B) {
+	s := newLoadedSteerer(b, 44)
+	s.SetTable(testNow, newTestTable(b))
+	s.Targets.Each(func(t *Target) {
+		t.Work, t.Running, t.RunningKnown = 10+t.Busy, 5, true
+		if t.Domain == "a" {
+			t.Busy += 4
+		}
+	})
+	for i := range b.N {
+		id := callerFlow(i % 9000)
+		packet := encode(segment.Segment{Source: id.Caller, Destination: id.Listener, Flags: segment.Opens})
+		s.flows.Remove(id)
+		s.HandlePacket(testNow, decode(packet), packet)
+		s.TakeOutcome()
+	}
+	if s.Targets.groups["one"].load.split.total() == 0 {
+		b.Error("no flow leaves the failure domain")
+	}
+}
+
 // BenchmarkForward measures a balancer's handling of a packet whose owner is known.
 func BenchmarkForward(b *testing.B) {
 	s := newLoadedSteerer(b, 44)
--- a/internal/connection/stream/work.go
+++ b/internal/connection/stream/work.go
@@ -8,7 +8,7 @@
 
 // workWindow is the time over which the mean work of a request is measured: some tens of
 // requests of a busy target.
-const workWindow = 2 * clock.Second
+const workWindow = clock.Second
 
 // workMeter measures the mean time that a target works on a request, without the time that
 // requests wait there: the time for which its slots were in use, divided by the requests that
