--- a/internal/connection/stream/choose_test.go
+++ b/internal/connection/stream/choose_test.go
@@ -242,3 +242,23 @@
 		}
 	}
 }
+
+// A report may also contain any work and any number of requests in progress.
+func TestChooseAnyWork(t *testing.T) {
+	values := []float64{0, 1e-3, 30, 4e6}
+	for _, work := range values {
+		for _, running := range values {
+			ts := newLoadedTargets(targetLoad{"a", 5, 9, 0}, targetLoad{"a", 1 << 30, 4e7, 0}, targetLoad{"b", 3, 1, 2000})
+			ts.SetBalancers(19)
+			for i, target := range ts.Sorted() {
+				target.Work, target.Running, target.RunningKnown = work, int(running), true
+				if i == 0 {
+					target.Work = 30
+				}
+			}
+			if counts := placeOpenings(ts, 20); counts[0]+counts[1]+counts[2] != 20 {
+				t.Errorf("work %g, %g requests in progress: distribution of 20 openings: %v", work, running, counts)
+			}
+		}
+	}
+}
