--- a/internal/connection/stream/outlier_test.go
+++ b/internal/connection/stream/outlier_test.go
@@ -211,3 +211,41 @@
 		t.Errorf("one target gets all openings while the other two fail: %v", counts)
 	}
 }
+
+// Guards against answers being taken for none where the end of the flow overtakes its data: a
+// target on trial would stay there although it answers.
+func TestAnswerWhoseEndOvertakesItsData(t *testing.T) {
+	f := newScriptedTarget(t)
+	for range 3 {
+		f.request(false)
+	}
+	f.advance(baseEjectionTime + 100)
+	c, ok := f.openAndRequest()
+	if !ok {
+		t.Fatal("no flow was admitted on trial")
+	}
+	f.now += 20
+	f.sendFromTarget(c, segment.Segment{Flags: segment.Ends | segment.Acks, Seq: 906})
+	f.sendFromTarget(c, segment.Segment{Flags: segment.Acks, Seq: 6, Size: 900})
+	for range 2 * trialFlows {
+		if _, ok := f.openAndRequest(); !ok {
+			t.Fatal("the target is still on trial after its answer")
+		}
+	}
+}
+
+// Guards against a full target that refuses requests at once being taken for the fastest one.
+func TestRefusedRequestsAreNoWork(t *testing.T) {
+	f := newScriptedTarget(t)
+	f.advance(50)
+	for range 3 {
+		f.openAndRequest()
+	}
+	for range 20 {
+		f.request(true)
+		f.tracker.Tick(f.now)
+	}
+	if work := f.tracker.work.mean(); work != 0 {
+		t.Errorf("the target has finished no request, and its work is taken for %.0f ms", work)
+	}
+}
