--- a/internal/connection/stream/queue.go
+++ b/internal/connection/stream/queue.go
@@ -54,7 +54,7 @@
 		return
 	}
 	due := s.queued
-	s.queued = nil
+	s.queued = make([]queuedOpening, 0, len(due))
 	full := map[destination]bool{}
 	for _, o := range due {
 		f, known := s.flows.Get(o.id)
