agent, balancer: read a current list where nobody answers

All balancers leave and others come while the directory's cheap lists are many seconds old. Agents read such a list 2 s after their last probe, found only the balancers that had left, and looked again 5 s later, at an old list; new balancers did not find one another either. Flows waited until the settings named new seeds, 6 to 8 s later.

An agent that nobody has probed for 6 s, longer than the longest pause between probes, reads the list as it is now, after 1 s again and then at growing pauses up to 5 s. A balancer whom no other one answers 1 s after it has registered does the same, three times at most.

Ruled out: current lists for all lookups, which the agents of idle services make between two probes.

--- a/internal/process/directory/directory.go
+++ b/internal/process/directory/directory.go
@@ -36,6 +36,12 @@
 	CPUShare uint32 `json:"share,omitempty"`
 }
 
+// currentLister is implemented by stores whose lists may be stale.
+type currentLister interface {
+	// ListCurrent returns all objects of a kind as they are now.
+	ListCurrent(ctx context.Context, kind platform.Kind) (platform.List, error)
+}
+
 // Directory reads and writes the entries.
 type Directory struct {
 	store platform.Store
@@ -72,6 +78,21 @@
 // Entries lists the balancers. Malformed entries are skipped.
 func (d *Directory) Entries(ctx context.Context) ([]Entry, error) {
 	list, err := d.store.List(ctx, platform.Processes)
+	return decodeEntries(list, err)
+}
+
+// CurrentEntries lists the balancers as they are now. It costs more than Entries, and is
+// for processes that no balancer of an earlier list answers.
+func (d *Directory) CurrentEntries(ctx context.Context) ([]Entry, error) {
+	store, ok := d.store.(currentLister)
+	if !ok {
+		return d.Entries(ctx)
+	}
+	list, err := store.ListCurrent(ctx, platform.Processes)
+	return decodeEntries(list, err)
+}
+
+func decodeEntries(list platform.List, err error) ([]Entry, error) {
 	if err != nil {
 		return nil, err
 	}
@@ -92,13 +113,29 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	local, all = split(entries, domain)
+	return local, all, nil
+}
+
+// CurrentBalancers is like Balancers, from CurrentEntries.
+func (d *Directory) CurrentBalancers(ctx context.Context, domain string) (local, all []netip.AddrPort, err error) {
+	entries, err := d.CurrentEntries(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	local, all = split(entries, domain)
+	return local, all, nil
+}
+
+// split returns the addresses of the entries of a failure domain, and those of all.
+func split(entries []Entry, domain string) (local, all []netip.AddrPort) {
 	for _, e := range entries {
 		all = append(all, e.Address)
 		if e.Domain == domain {
 			local = append(local, e.Address)
 		}
 	}
-	return local, all, nil
+	return local, all
 }
 
 // Remove deletes the entry of a lost balancer, unless another process has written
--- a/internal/process/streamagent/agent.go
+++ b/internal/process/streamagent/agent.go
@@ -46,15 +46,18 @@
 	keeperTimeout = 2 * clock.Second
 	// lookupInterval is how often balancers are looked up in the directory while none
 	// probes this target. After a failed lookup the delay starts at minLookupRetryDelay
-	// and doubles.
+	// and doubles, and after a lookup of an abandoned agent at minAbandonedDelay.
 	lookupInterval      = 5 * clock.Second
 	minLookupRetryDelay = 200 * clock.Millis(1)
+	minAbandonedDelay   = clock.Second
 )
 
 // Finder looks up the balancers to report to.
 type Finder interface {
 	// Balancers returns the balancers of a failure domain, and those of all.
 	Balancers(ctx context.Context, domain string) (local, all []netip.AddrPort, err error)
+	// CurrentBalancers returns the same from a list that is not stale, at a higher cost.
+	CurrentBalancers(ctx context.Context, domain string) (local, all []netip.AddrPort, err error)
 }
 
 // Settings configures an agent.
--- a/internal/process/streamagent/agent_test.go
+++ b/internal/process/streamagent/agent_test.go
@@ -115,6 +115,8 @@
 	mu       sync.Mutex
 	calls    int
 	failures int
+	// current counts the calls for a list that is not stale.
+	current int
 }
 
 func (d *fakeFinder) Balancers(context.Context, string) (local, all []netip.AddrPort, err error) {
@@ -127,6 +129,35 @@
 	return []netip.AddrPort{testBalancer(7)}, nil, nil
 }
 
+func (d *fakeFinder) CurrentBalancers(ctx context.Context, domain string) (local, all []netip.AddrPort, err error) {
+	d.mu.Lock()
+	d.current++
+	d.mu.Unlock()
+	return d.Balancers(ctx, domain)
+}
+
+// All balancers have been replaced, and cheap lists name only the earlier ones for many
+// seconds. An agent that nobody probes must read a current list, and one that waits for its
+// next probe must not, as such a list is dear.
+func TestAbandonedAgentReadsCurrentList(t *testing.T) {
+	for _, c := range []struct {
+		silence clock.Millis
+		want    int
+	}{{localBalancerTimeout - clock.Second, 0}, {localBalancerTimeout + 1, 1}} {
+		a := newTestAgent(t, false)
+		d, now := &fakeFinder{}, &clock.Manual{}
+		now.Advance(testNow)
+		a.deps = Deps{Finder: d, Clock: now, Log: zerolog.Nop()}
+		a.balancers.RecordProbe(testNow-c.silence, testBalancer(1), "a")
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		a.runLookups(ctx)
+		cancel()
+		if d.calls != 1 || d.current != c.want {
+			t.Errorf("silent for %d ms: %d lookups, %d of them current", c.silence, d.calls, d.current)
+		}
+	}
+}
+
 // All VMs lost power and the platform is unavailable for another second. The agent knows no
 // balancer; it must retry the lookup soon, not seconds after the platform is back.
 func TestLookupIsRetriedSoon(t *testing.T) {
--- a/internal/process/streamagent/balancers.go
+++ b/internal/process/streamagent/balancers.go
@@ -134,6 +134,13 @@
 	return now.Sub(bs.lastProbe) > 2*clock.Second
 }
 
+// UntilAbandoned returns how long this agent may still wait for a probe from a balancer of
+// any failure domain before it counts as abandoned: zero or less if it does, as all balancers
+// that it knows may have been replaced.
+func (bs *Balancers) UntilAbandoned(now clock.Millis) clock.Millis {
+	return localBalancerTimeout - now.Sub(max(bs.lastProbe, bs.startedAt))
+}
+
 // reportInterval returns the interval of unsolicited reports to a balancer, and whether
 // it is sent any. loaded reports whether the target's slots are in use.
 //
--- a/internal/process/streamagent/lookup.go
+++ b/internal/process/streamagent/lookup.go
@@ -40,37 +40,56 @@
 
 // runLookups looks up balancers while none probes this target. A failed lookup is retried
 // soon: after a loss of power only the platform knows the balancers' addresses.
+//
+// The directory's cheap lists may be many seconds old. If all balancers were replaced they
+// name only those that have left, and flows wait until the agent is known to the new ones;
+// so an abandoned agent reads a current list.
 func (a *Agent) runLookups(ctx context.Context) {
-	delay, retry := clock.Millis(0), minLookupRetryDelay
+	delay, retry, abandonedDelay := clock.Millis(0), minLookupRetryDelay, minAbandonedDelay
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(delay.Duration()):
 		}
+		unprobed, rest := a.unprobed()
+		abandoned := rest <= 0
+		if !abandoned {
+			abandonedDelay = minAbandonedDelay
+		}
 		switch {
-		case !a.unprobed():
+		case !unprobed:
 			delay, retry = clock.Second, minLookupRetryDelay
-		case a.lookUpBalancers(ctx):
-			delay, retry = lookupInterval, minLookupRetryDelay
-		default:
+		case !a.lookUpBalancers(ctx, abandoned):
 			delay, retry = retry/2+rand.N(retry/2), min(2*retry, lookupInterval)
+		case abandoned:
+			delay, retry = abandonedDelay/2+rand.N(abandonedDelay), minLookupRetryDelay
+			abandonedDelay = min(2*abandonedDelay, lookupInterval)
+		default:
+			delay, retry = min(rest, lookupInterval), minLookupRetryDelay
 		}
 	}
 }
 
-// unprobed reports whether no balancer probes this target.
-func (a *Agent) unprobed() bool {
+// unprobed reports whether no balancer probes this target, and how long until the agent
+// counts as abandoned.
+func (a *Agent) unprobed() (unprobed bool, untilAbandoned clock.Millis) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.balancers.Unprobed(a.deps.Clock.Now())
+	now := a.deps.Clock.Now()
+	return a.balancers.Unprobed(now), a.balancers.UntilAbandoned(now)
 }
 
-// lookUpBalancers looks up balancers, and reports whether the platform answered.
-func (a *Agent) lookUpBalancers(ctx context.Context) bool {
+// lookUpBalancers looks up balancers, in a current list or in one that may be stale, and
+// reports whether the platform answered.
+func (a *Agent) lookUpBalancers(ctx context.Context, current bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	local, all, err := a.deps.Finder.Balancers(ctx, a.settings.Domain)
+	find := a.deps.Finder.Balancers
+	if current {
+		find = a.deps.Finder.CurrentBalancers
+	}
+	local, all, err := find(ctx, a.settings.Domain)
 	if err != nil {
 		a.deps.Log.Warn().Str("event", "nodirectory").Err(err).Msg("looking up balancers failed; retrying")
 		return false
--- a/internal/process/streambalancer/config.go
+++ b/internal/process/streambalancer/config.go
@@ -41,6 +41,10 @@
 	// registration. Without the directory a balancer knows only its seeds.
 	minRegisterDelay = 200 * time.Millisecond
 	maxRegisterDelay = 2 * time.Second
+	// minFindPeersDelay and maxFindPeersDelay bound the delays, which double, after which a
+	// balancer without peers reads a current list of them. A single balancer reads three.
+	minFindPeersDelay = time.Second
+	maxFindPeersDelay = 4 * time.Second
 )
 
 // syncConfig keeps the routing table up to date: from a peer that has a later version, else
@@ -200,6 +204,42 @@
 		}
 		pause = min(2*pause, maxRegisterDelay)
 	}
+	b.findPeers(ctx)
+}
+
+// findPeers reads current lists while no other balancer answers: a list that is some seconds
+// old names only those that have left if all were replaced at once.
+func (b *Balancer) findPeers(ctx context.Context) {
+	for pause := minFindPeersDelay; pause <= maxFindPeersDelay; pause *= 2 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		if !b.alone() {
+			return
+		}
+		b.readCurrentEntries(ctx)
+	}
+}
+
+// alone reports whether no other balancer answers.
+func (b *Balancer) alone() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.deps.Clock.Now()
+	return !slices.ContainsFunc(b.peers.Sorted(), func(p *Peer) bool { return p.Live(now) })
+}
+
+func (b *Balancer) readCurrentEntries(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	entries, err := b.deps.Directory.CurrentEntries(ctx)
+	if err != nil {
+		b.deps.Log.Warn().Str("event", "nodirectory").Err(err).Msg("reading the directory failed")
+		return
+	}
+	b.learnEntries(entries)
 }
 
 func (b *Balancer) tryRegister(ctx context.Context, entry directory.Entry) bool {
