checkpoint: an entry for targets without flows

The shards of a failure domain listed the targets that had flows at the last write. Balancers that replace all others need to know all targets there are. An agent sends an entry as soon as its target is known, and again each 30 s, before a keeper removes it; a target that has left is forgotten, so that the next one at its address is sent.

The first shard that is written may have no flows now.

--- a/internal/connection/checkpoint/sender.go
+++ b/internal/connection/checkpoint/sender.go
@@ -19,6 +19,9 @@
 	maxAckLag = 30_000
 	// flowsPerPart limits a part to one frame.
 	flowsPerPart = 80
+	// listingInterval is how long the entry of a target without new flows counts as
+	// present: keepers remove entries after maxClockSkew and the lifetime of a flow.
+	listingInterval = 30 * clock.Second
 )
 
 // Sender decides when an agent sends its entry to the keeper.
@@ -27,6 +30,9 @@
 	// store.
 	storedBorn uint64
 	storedAcks map[segment.Flow]uint32
+	// listed reports whether the store has an entry of the target, written after listedAt.
+	listed   bool
+	listedAt clock.Millis
 	// sent is the entry that was sent last, with its number.
 	sent         Entry
 	number       uint32
@@ -45,13 +51,22 @@
 		return false
 	}
 	s.nextDue = now + s.sendInterval
+	if now.Sub(s.listedAt) > listingInterval {
+		s.listed, s.listedAt = false, now
+	}
 	return true
 }
 
+// Forget records that the target has left, and that keepers remove its entry.
+func (s *Sender) Forget() {
+	s.listed = false
+}
+
 // NeedsSend reports whether an entry is to be sent. A flow that has ended is no reason
-// to send it: resetting that flow does no harm.
+// to send it: resetting that flow does no harm. A target without flows is sent as well:
+// balancers that replace all others take from the store which targets there are.
 func (s *Sender) NeedsSend(e *Entry) bool {
-	if len(e.Flows) > 0 && e.Born != s.storedBorn {
+	if !s.listed || len(e.Flows) > 0 && e.Born != s.storedBorn {
 		return true
 	}
 	for f := range e.Flows.All() {
@@ -69,12 +84,18 @@
 	s.sent.Flows = e.Flows.Last(maxFlows)
 	s.number++
 	var parts []*wire.Checkpoint
-	for flows := range slices.Chunk(s.sent.Flows, flowsPerPart*flowSize) {
+	add := func(flows Flows) {
 		parts = append(parts, &wire.Checkpoint{
 			Service: e.Service, Born: e.Born, Writer: e.Writer, Number: s.number,
 			Part: uint32(len(parts)), Flows: flows,
 		})
 	}
+	if len(s.sent.Flows) == 0 {
+		add(nil)
+	}
+	for flows := range slices.Chunk(s.sent.Flows, flowsPerPart*flowSize) {
+		add(flows)
+	}
 	for _, p := range parts {
 		p.Parts = uint32(len(parts))
 	}
@@ -88,7 +109,7 @@
 		return false
 	}
 	s.sendInterval = min(max(writeInterval/2, minSendInterval), maxSendInterval)
-	s.storedBorn = s.sent.Born
+	s.storedBorn, s.listed = s.sent.Born, true
 	clear(s.storedAcks)
 	for f := range s.sent.Flows.All() {
 		s.storedAcks[f.ID] = f.Ack
--- a/internal/connection/checkpoint/sender_test.go
+++ b/internal/connection/checkpoint/sender_test.go
@@ -46,6 +46,31 @@
 	}
 }
 
+// A target has no flows. Its entry must be in the store all the same, and again after it
+// may have expired there: balancers that replace all others would not know the target.
+func TestTargetWithoutFlowsIsListed(t *testing.T) {
+	s, k := NewSender(), testKeeper()
+	e := testEntry(1, 0)
+	for i, at := range []clock.Millis{testNow, testNow + listingInterval + 1} {
+		if !s.Due(at) || !s.NeedsSend(&e) {
+			t.Fatalf("entry %d is not sent", i)
+		}
+		receiveParts(t, k, at, 1, s.Parts(&e))
+		if due := k.Due(at); len(due) != 1 || len(due[0].Entries) != 1 {
+			t.Fatalf("entry %d is not written: %v", i, due)
+		}
+		k.ScheduleNext(at, 0)
+		s.Acknowledge(k.WriteSucceeded(0)[0].Number, 0)
+		if s.NeedsSend(&e) {
+			t.Errorf("entry %d is sent again", i)
+		}
+	}
+	s.Forget()
+	if !s.NeedsSend(&e) {
+		t.Error("not sent after a target that has left")
+	}
+}
+
 // The acknowledgement of an entry arrives after a later one was sent. The flows that are
 // new in the later one must not count as stored.
 func TestLateAcknowledgement(t *testing.T) {
--- a/internal/connection/stream/restore.go
+++ b/internal/connection/stream/restore.go
@@ -56,6 +56,9 @@
 // the checkpoint of an earlier process, so there must be a verdict on that one first.
 func (tr *Tracker) sendCheckpoint(now clock.Millis) {
 	c, u := &tr.checkpoints, &tr.upstream
+	if u.gone {
+		c.sender.Forget()
+	}
 	judged := c.loaded && c.previous == nil && len(c.lostFlows) == 0
 	if !c.enabled || !judged || !u.known || u.born == 0 || u.gone || now.Sub(c.keeperHeardAt) > keeperTimeout || !c.sender.Due(now) {
 		return
--- a/internal/process/streambalancer/checkpoints.go
+++ b/internal/process/streambalancer/checkpoints.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/wagtailtray/wagtailtray/internal/connection/checkpoint"
@@ -151,7 +152,7 @@
 		return
 	}
 	b.deps.Scope.Counter("checkpoints").Inc(1)
-	b.deps.Log.Debug().Str("event", "checkpoint").Int("shard", s.Index).Int("targets", len(s.Entries)).Send()
+	b.deps.Log.Debug().Str("event", writeEvent(s)).Int("shard", s.Index).Int("targets", len(s.Entries)).Send()
 	for _, a := range b.keeper.WriteSucceeded(s.Index) {
 		b.send(a.Agent, &wire.Parcel{Verb: wire.Verb_VERB_KEPT, Checkpoint: &wire.Checkpoint{
 			Number: a.Number, Pause: uint32(a.WriteInterval),
@@ -159,6 +160,15 @@
 	}
 }
 
+// writeEvent returns the name of the event that a shard was written. One without flows only
+// lists targets.
+func writeEvent(s *checkpoint.Shard) string {
+	if slices.ContainsFunc(s.Entries, func(e checkpoint.Entry) bool { return e.Flows.Len() > 0 }) {
+		return "checkpoint"
+	}
+	return "listing"
+}
+
 // handleCheckpoint handles a part of an agent's checkpoint. The caller holds the lock.
 func (b *Balancer) handleCheckpoint(from netip.AddrPort, c *wire.Checkpoint) {
 	t, ok := b.steerer.Targets.Find(from)
