balancer: the store, not a time, proves that all targets were heard

Cause: a balancer that no settled one had told its targets counted as knowing those of its failure domain 2.2 s after its start, also if no agent had reported, and a relay passed that on. The 2.2 s are two reports of each agent, but agents report only to balancers that they know.

Change: such a balancer reads from the checkpoints which targets there are in its failure domain, and in those of others whose relays do not tell; it probes who is listed, so agents know it at once too, and settles when each was heard, has left or is lost. Relays read first; a balancer that settles tells the others at once. A keeper writes a shard anew when a target has left. Without an answer of the store nobody settles on silence. Without checkpoints times decide as before.

Ruled out: a longer wait, which proves no more; the number of targets that agents know from former balancers, which says nothing of failure domains that nobody was heard of; reading all lists at all balancers, which may be megabytes each.

The edge for QUIC callers does not have the fault: a datagram that no target owns is dropped, never reset, and agents pass datagrams on by their own view.

The simulated fleet settles in time without a target, without a failure domain's and without any (TestReplacedBalancersSettleWithoutTargets).

--- a/internal/connection/checkpoint/keeper.go
+++ b/internal/connection/checkpoint/keeper.go
@@ -190,9 +190,16 @@
 	}
 }
 
-// Remove removes the targets that have left as planned: their callers were notified.
+// Remove removes the targets that have left as planned: their callers were notified, and
+// balancers that replace all others need not wait for them.
 func (k *Keeper) Remove(left func(agent netip.AddrPort) bool) {
-	maps.DeleteFunc(k.entries, func(a netip.AddrPort, _ *keptEntry) bool { return left(a) })
+	maps.DeleteFunc(k.entries, func(a netip.AddrPort, _ *keptEntry) bool {
+		if left(a) {
+			k.changed[k.shardOf(a)] = true
+			return true
+		}
+		return false
+	})
 	maps.DeleteFunc(k.assemblies, func(a netip.AddrPort, _ *assembly) bool { return left(a) })
 }
 
--- a/internal/process/checkpoints/checkpoints.go
+++ b/internal/process/checkpoints/checkpoints.go
@@ -13,6 +13,7 @@
 //	entry, err := s.Entry(ctx, agent)   // a starting agent
 //	shard, err := s.Load(ctx, 0)        // a keeper, before it writes
 //	err = s.Write(ctx, &shard)
+//	entries, err := s.List(ctx, domain) // a balancer that replaces all others
 package checkpoints
 
 import (
@@ -51,11 +52,11 @@
 	return &Store{backend: backend, domain: domain, resourceVersions: map[int]uint64{}}
 }
 
-func (s *Store) objectName(index int) string {
+func objectName(domain string, index int) string {
 	if index == 0 {
-		return s.domain
+		return domain
 	}
-	return fmt.Sprint(s.domain, ".", index)
+	return fmt.Sprint(domain, ".", index)
 }
 
 // Entry returns the entry of an agent's target, or platform.ErrNotFound. It may be some
@@ -78,7 +79,7 @@
 }
 
 func (s *Store) peek(ctx context.Context, index int) (checkpoint.Shard, error) {
-	o, err := s.backend.Peek(ctx, platform.Checkpoints, s.objectName(index))
+	o, err := s.backend.Peek(ctx, platform.Checkpoints, objectName(s.domain, index))
 	if err != nil {
 		return checkpoint.Shard{}, err
 	}
@@ -93,11 +94,33 @@
 	return shard, err
 }
 
+// List reads the current entries of all shards of a failure domain; there are none if
+// nothing was ever stored. It is safe for concurrent use.
+func (s *Store) List(ctx context.Context, domain string) ([]checkpoint.Entry, error) {
+	var all []checkpoint.Entry
+	for index, count := 0, 1; index < count; index++ {
+		o, err := s.backend.Get(ctx, platform.Checkpoints, objectName(domain, index))
+		if errors.Is(err, platform.ErrNotFound) {
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		shard, err := decode(o)
+		if err != nil {
+			return nil, err
+		}
+		count = max(count, shard.Count)
+		all = append(all, shard.Entries...)
+	}
+	return all, nil
+}
+
 // Load reads the current version of one shard, which the next write replaces. It returns
 // platform.ErrNotFound if there is none. The next write also replaces a shard that cannot
 // be decoded.
 func (s *Store) Load(ctx context.Context, index int) (checkpoint.Shard, error) {
-	o, err := s.backend.Get(ctx, platform.Checkpoints, s.objectName(index))
+	o, err := s.backend.Get(ctx, platform.Checkpoints, objectName(s.domain, index))
 	if errors.Is(err, platform.ErrNotFound) {
 		s.resourceVersions[index] = 0
 	}
@@ -123,7 +146,7 @@
 }
 
 func (s *Store) write(ctx context.Context, shard *checkpoint.Shard) (platform.Object, error) {
-	name, version := s.objectName(shard.Index), s.resourceVersions[shard.Index]
+	name, version := objectName(s.domain, shard.Index), s.resourceVersions[shard.Index]
 	if version == 0 {
 		return s.backend.Create(ctx, platform.Checkpoints, name, shard)
 	}
--- a/internal/process/checkpoints/checkpoints_test.go
+++ b/internal/process/checkpoints/checkpoints_test.go
@@ -231,4 +231,20 @@
 			t.Errorf("agent %d: %+v, %v", i, e, err)
 		}
 	}
+	if all, err := New(b, "other").List(t.Context(), "d"); err != nil || len(all) != 40 {
+		t.Errorf("listed %d entries, %v", len(all), err)
+	}
+}
+
+// A balancer may take a list for the targets that there are only if the store has answered.
+func TestListNeedsAnswer(t *testing.T) {
+	b := newFakeBackend()
+	s := New(b, "d")
+	if all, err := s.List(t.Context(), "d"); err != nil || len(all) != 0 {
+		t.Errorf("without a shard: %v, %v", all, err)
+	}
+	b.unavailable = true
+	if _, err := s.List(t.Context(), "d"); !errors.Is(err, platform.ErrUnavailable) {
+		t.Errorf("without the store: %v", err)
+	}
 }
--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -30,8 +30,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -192,6 +194,7 @@
 	}
 	if deps.Checkpoints != nil {
 		b.background.Go(func() { b.runKeeper(ctx) })
+		b.background.Go(func() { b.runListing(ctx) })
 	}
 	deps.Log.Info().Str("event", "start").Str("domain", settings.Domain).Stringer("edge", settings.Edge).
 		Stringer("parcels", settings.Parcels).Int("seeds", len(settings.Seeds)).Msg("balancer started")
@@ -217,6 +220,9 @@
 	b.peers = NewPeers(deps.Clock.Now(), Peer{
 		Address: settings.Parcels, Name: settings.Name, Domain: settings.Domain, CPUShare: settings.CPUShare, Epoch: epoch,
 	}, settings.Seeds)
+	if deps.Checkpoints != nil {
+		b.peers.listing = newListing(slices.Sorted(maps.Keys(settings.Regions)))
+	}
 	return b
 }
 
--- a/internal/process/streambalancer/checkpoints.go
+++ b/internal/process/streambalancer/checkpoints.go
@@ -28,6 +28,9 @@
 	// Write replaces the shard that was last loaded or written. platform.ErrConflict means
 	// that the stored shard is a different one.
 	Write(ctx context.Context, s *checkpoint.Shard) error
+	// List reads the current entries of a failure domain, or returns
+	// checkpoint.ErrUnreadable or ErrFormat. It may be called during the other calls.
+	List(ctx context.Context, domain string) ([]checkpoint.Entry, error)
 }
 
 // runKeeper writes the checkpoints of the local failure domain while this balancer is the
--- a/internal/process/streambalancer/news.go
+++ b/internal/process/streambalancer/news.go
@@ -100,7 +100,10 @@
 		b.broadcastNews(now)
 	}
 	b.sendAnnouncements(now)
-	b.setSettled(b.peers.Settled(now, digest, func(domain string) bool {
+	if b.peers.listing != nil {
+		b.peers.listing.update(now, b.steerer.Targets)
+	}
+	b.setSettled(now, b.peers.Settled(now, digest, func(domain string) bool {
 		return b.steerer.Targets.Complete(now, domain)
 	}))
 	b.steerer.Targets.SetBalancers(len(b.peers.LocalPeers(now)) + 1)
@@ -120,12 +123,16 @@
 }
 
 // setSettled passes to the steerer whether balancers agree on the known targets.
-func (b *Balancer) setSettled(settled bool) {
+func (b *Balancer) setSettled(now clock.Millis, settled bool) {
 	if settled == b.settled {
 		return
 	}
 	b.settled = settled
 	b.steerer.SetSettled(settled)
+	if settled && !b.peers.confirmed {
+		// The others of a fleet that has just started wait for a settled balancer.
+		b.broadcastNews(now)
+	}
 	b.deps.Log.Info().Str("event", "settled").Bool("settled", settled).Int("targets", b.steerer.Targets.Len()).Send()
 }
 
--- a/internal/process/streambalancer/peers.go
+++ b/internal/process/streambalancer/peers.go
@@ -96,6 +96,8 @@
 	higherRankWatchedAt clock.Millis
 	// confirmed reports whether a settled balancer has sent this one all targets.
 	confirmed bool
+	// listing tracks the targets that the store lists; nil without checkpoints.
+	listing *listing
 	// covered holds the views of others whose targets this balancer knows completely.
 	covered map[View]bool
 	// lastRequest is when contacts were last requested from any balancer.
--- a/internal/process/streambalancer/settled.go
+++ b/internal/process/streambalancer/settled.go
@@ -25,8 +25,8 @@
 	minStartDelay   = clock.Second
 	propagationTime = 200 * clock.Millis(1)
 	// noRelayStartDelay is the minimum if a failure domain has no balancer that sends
-	// summaries of its targets: agents there must notice that no balancer queries them,
-	// look up other balancers and report twice.
+	// summaries of its targets, and the store does not list them: agents there must notice
+	// that no balancer queries them, look up other balancers and report twice.
 	noRelayStartDelay = 12 * clock.Second
 	// peerRequestInterval is the minimum interval between two requests to one balancer for
 	// the targets that this one does not know, and requestInterval between requests to any
@@ -86,11 +86,13 @@
 // agent that has run for long reports once a second to the balancers that do not probe it,
 // or to one of them. So agreement counts only after a settled balancer has sent its
 // targets, or after every agent of the local failure domain has reported and the relays of
-// the other domains, having heard from every agent there, have sent their summaries.
+// the other domains, having heard from every agent there, have sent their summaries. Which
+// agents there are is taken from the store; see listing.
 func (ps *Peers) Settled(now clock.Millis, digest uint64, complete func(domain string) bool) bool {
 	ps.confirmed = ps.confirmed || ps.settledPeerConfirms(now, digest)
 	ps.updateAgreement(now, digest)
-	return heldLongEnough(now, ps.agreedSince) && now.Sub(ps.startedAt) > ps.startDelay(complete) && ps.LocalTargetsKnown(now)
+	delay, ok := ps.startDelay(complete)
+	return ok && heldLongEnough(now, ps.agreedSince) && now.Sub(ps.startedAt) > delay && ps.LocalTargetsKnown(now)
 }
 
 // updateAgreement records since when this balancer knows everything that its neighbours
@@ -126,24 +128,44 @@
 }
 
 // startDelay returns how long after its start this balancer cannot be settled, because it
-// may not have heard from all agents.
-func (ps *Peers) startDelay(complete func(domain string) bool) clock.Millis {
+// may not have heard from all agents, and whether any time is enough.
+func (ps *Peers) startDelay(complete func(domain string) bool) (clock.Millis, bool) {
 	if ps.confirmed {
-		return confirmedStartDelay
+		return confirmedStartDelay, true
 	}
-	for _, d := range ps.RemoteDomains() {
-		if !complete(d) {
-			return noRelayStartDelay
+	delay := clock.Millis(0)
+	for _, d := range ps.allDomains() {
+		if d == ps.self.Domain || complete(d) || ps.listState(d) == listHeard {
+			continue
+		}
+		if ps.listState(d) != listUnreadable {
+			return 0, false
 		}
+		delay = noRelayStartDelay
+	}
+	return delay, true
+}
+
+// listState returns the state of the list of a failure domain's targets. Without checkpoints
+// there are no lists.
+func (ps *Peers) listState(domain string) listState {
+	if ps.listing == nil {
+		return listUnreadable
 	}
-	return 0
+	return ps.listing.states[domain]
 }
 
 // LocalTargetsKnown reports whether this balancer knows all targets of the local failure
-// domain: every agent there has reported to it or to a balancer that it agrees with, or a
-// settled balancer has sent it all targets.
+// domain: a settled balancer has sent it all targets, or it has heard from every one that
+// the store lists and agents that were not listed yet had time to report.
 func (ps *Peers) LocalTargetsKnown(now clock.Millis) bool {
-	return ps.confirmed || now.Sub(ps.startedAt) > soloStartDelay || ps.localTargetsKnownJointly(now)
+	if ps.confirmed {
+		return true
+	}
+	if s := ps.listState(ps.self.Domain); s != listHeard && s != listUnreadable {
+		return false
+	}
+	return now.Sub(ps.startedAt) > soloStartDelay || ps.localTargetsKnownJointly(now)
 }
 
 // localTargetsKnownJointly reports whether this balancer knows everything that the others
--- a/internal/process/streambalancer/sim_test.go
+++ b/internal/process/streambalancer/sim_test.go
@@ -3,13 +3,16 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/wagtailtray/wagtailtray/internal/connection/checkpoint"
 	"github.com/wagtailtray/wagtailtray/internal/connection/stream"
 	"github.com/wagtailtray/wagtailtray/internal/process/streamagent"
 	"github.com/wagtailtray/wagtailtray/internal/request/segment"
@@ -97,6 +100,12 @@
 	byAddress map[netip.AddrPort]*simProcess
 	processes []*simProcess
 	table     *routing.Table
+	// listed are the targets that the store lists in each failure domain; nil without
+	// checkpoints. With unlisted, the store does not answer.
+	listed   map[string][]checkpoint.Entry
+	unlisted bool
+	// strangers are balancers that find no other one: the directory's list is stale.
+	strangers bool
 	// measureFrom is when the restart begins. Traffic is counted for the two seconds after
 	// it.
 	measureFrom float64
@@ -261,7 +270,7 @@
 func (f *simFleet) unheard(b *Balancer) int {
 	n := 0
 	for _, s := range f.processes {
-		if s.tracker == nil {
+		if s.tracker == nil || f.byAddress[s.address] != s {
 			continue
 		}
 		if t, ok := b.steerer.Targets.Find(s.address); !ok || t.HeardAt == 0 {
@@ -278,6 +287,49 @@
 	f.schedule(later, func() { f.startBalancer(s, i, size.balancers, f.table) })
 }
 
+// replaceBalancers ends all balancers. Others start at new addresses, which neither they nor
+// the agents know.
+func (f *simFleet) replaceBalancers(size fleetSize) {
+	f.strangers = true
+	for i := range size.balancers {
+		old := f.processes[i]
+		old.balancer = nil
+		delete(f.byAddress, old.address)
+		s := &simProcess{
+			address: peerAddress(1000 + i), domain: old.domain, share: old.share, startAt: f.now + 300_000*f.random.Float64(),
+			verbs: map[wire.Verb]int{}, clock: &clock.Manual{},
+		}
+		f.processes[i], f.byAddress[s.address] = s, s
+		f.schedule(s.startAt-f.now, func() { f.startBalancer(s, i, size.balancers, f.table) })
+	}
+}
+
+// lose ends the VMs of agents for good.
+func (f *simFleet) lose(agents ...*simProcess) {
+	for _, s := range agents {
+		delete(f.byAddress, s.address)
+	}
+}
+
+// storeTargets stores the checkpoints of all agents.
+func (f *simFleet) storeTargets(size fleetSize) {
+	f.listed = map[string][]checkpoint.Entry{}
+	for _, s := range f.processes[size.balancers:] {
+		f.listed[s.domain] = append(f.listed[s.domain], checkpoint.Entry{Agent: s.address, Service: "one"})
+	}
+}
+
+// readLists gives a balancer the lists that it reads from the store.
+func (f *simFleet) readLists(now clock.Millis, b *Balancer) {
+	due := b.peers.dueLists(now, func(d string) bool { return b.steerer.Targets.Complete(now, d) })
+	if f.unlisted {
+		return
+	}
+	for _, d := range due {
+		b.learnListed(d, f.listed[d])
+	}
+}
+
 func (f *simFleet) startBalancer(s *simProcess, i, count int, table *routing.Table) {
 	f.syncClock(s)
 	b := newBalancer(Settings{
@@ -287,7 +339,13 @@
 	b.parcelSender, b.callerWriter = simLink{f, s}, s
 	s.balancer = b
 	b.steerer.SetTable(s.clock.Now(), table)
+	if f.listed != nil {
+		b.peers.listing = newListing(slices.Sorted(maps.Keys(f.listed)))
+	}
 	f.schedule(60_000, func() {
+		if f.strangers {
+			return
+		}
 		f.syncClock(s)
 		for j := range count {
 			b.peers.Learn(s.clock.Now(), peerAddress(j), Peer{
@@ -304,6 +362,7 @@
 		now := f.syncClock(s)
 		// Callers open flows all the time.
 		b.steerer.Targets.Choose(now, stream.PlacementRequest{Service: "one"})
+		f.readLists(now, b)
 		pause := b.step()
 		if s.settledAfter == 0 && b.settled {
 			s.settledAfter = f.now - s.startAt
@@ -333,6 +392,9 @@
 	})
 	var step func()
 	step = func() {
+		if f.byAddress[s.address] != s {
+			return
+		}
 		now := f.syncClock(s)
 		s.tracker.SendReport(now, s.reportBalancers.DueForReport(now, s.tracker.Loaded()))
 		s.tracker.Tick(now)
