checkpoint: a stale entry without flows is read again

An agent that starts reads its entry from a copy that may be seconds old. An entry without flows is read again as it is now.

--- a/internal/process/checkpoints/checkpoints.go
+++ b/internal/process/checkpoints/checkpoints.go
@@ -59,15 +59,27 @@
 	return fmt.Sprint(domain, ".", index)
 }
 
+// reader reads one object.
+type reader func(ctx context.Context, kind platform.Kind, name string) (platform.Object, error)
+
 // Entry returns the entry of an agent's target, or platform.ErrNotFound. It may be some
-// seconds stale.
+// seconds stale; one without flows is read again as it is now, since the target's first
+// flows may have been stored since.
 func (s *Store) Entry(ctx context.Context, agent netip.AddrPort) (checkpoint.Entry, error) {
-	shard, err := s.peek(ctx, 0)
+	e, err := s.entry(ctx, s.backend.Peek, agent)
+	if err == nil && e.Flows.Len() == 0 {
+		return s.entry(ctx, s.backend.Get, agent)
+	}
+	return e, err
+}
+
+func (s *Store) entry(ctx context.Context, read reader, agent netip.AddrPort) (checkpoint.Entry, error) {
+	shard, err := s.shard(ctx, read, 0)
 	if err != nil {
 		return checkpoint.Entry{}, err
 	}
 	if index := checkpoint.ShardOf(agent, shard.Count); index > 0 {
-		if shard, err = s.peek(ctx, index); err != nil {
+		if shard, err = s.shard(ctx, read, index); err != nil {
 			return checkpoint.Entry{}, err
 		}
 	}
@@ -78,8 +90,8 @@
 	return e, nil
 }
 
-func (s *Store) peek(ctx context.Context, index int) (checkpoint.Shard, error) {
-	o, err := s.backend.Peek(ctx, platform.Checkpoints, objectName(s.domain, index))
+func (s *Store) shard(ctx context.Context, read reader, index int) (checkpoint.Shard, error) {
+	o, err := read(ctx, platform.Checkpoints, objectName(s.domain, index))
 	if err != nil {
 		return checkpoint.Shard{}, err
 	}
