--- a/internal/process/streambalancer/checkpoints.go
+++ b/internal/process/streambalancer/checkpoints.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/wagtailtray/wagtailtray/internal/connection/checkpoint"
@@ -27,6 +28,9 @@
 	// Write replaces the shard that was last loaded or written. platform.ErrConflict means
 	// that the stored shard is a different one.
 	Write(ctx context.Context, s *checkpoint.Shard) error
+	// List reads the current entries of a failure domain, or returns
+	// checkpoint.ErrUnreadable or ErrFormat. It may be called during the other calls.
+	List(ctx context.Context, domain string) ([]checkpoint.Entry, error)
 }
 
 // runKeeper writes the checkpoints of the local failure domain while this balancer is the
@@ -151,7 +155,7 @@
 		return
 	}
 	b.deps.Scope.Counter("checkpoints").Inc(1)
-	b.deps.Log.Debug().Str("event", "checkpoint").Int("shard", s.Index).Int("targets", len(s.Entries)).Send()
+	b.deps.Log.Debug().Str("event", writeEvent(s)).Int("shard", s.Index).Int("targets", len(s.Entries)).Send()
 	for _, a := range b.keeper.WriteSucceeded(s.Index) {
 		b.send(a.Agent, &wire.Parcel{Verb: wire.Verb_VERB_KEPT, Checkpoint: &wire.Checkpoint{
 			Number: a.Number, Pause: uint32(a.WriteInterval),
@@ -159,6 +163,15 @@
 	}
 }
 
+// writeEvent returns the name of the event that a shard was written. One without flows only
+// lists targets.
+func writeEvent(s *checkpoint.Shard) string {
+	if slices.ContainsFunc(s.Entries, func(e checkpoint.Entry) bool { return e.Flows.Len() > 0 }) {
+		return "checkpoint"
+	}
+	return "listing"
+}
+
 // handleCheckpoint handles a part of an agent's checkpoint. The caller holds the lock.
 func (b *Balancer) handleCheckpoint(from netip.AddrPort, c *wire.Checkpoint) {
 	t, ok := b.steerer.Targets.Find(from)
