Admission by class under load, over the fleet

Under overload every target's queue was full: nearly everything was served a little late, and callers with standing flows took the room of those who open a flow for each request. An agent now admits an opening only while a request of its class would be done within half of its objective, less for each more urgent class present; otherwise it returns it with CAUSE_BUSY. Reports and summaries carry the refused priorities. Balancers choose among targets that admit the class, ask two at most, and reset the caller at once where none in reach does; the most urgent class is asked for late service while some have room. Each class keeps a least share.

- A target that got openings of one class only didn't limit it, as urgent ones avoid a full target: it filled up with what all others refused.
An opening carries the more urgent priorities that its balancer has seen.
- A target that rejects requests at once looked fast and drew all openings.
An answer that comes long before the request's turn counts as a rejection; it tells the capacity and isn't work.
- An agent that started with requests in progress measured its first sample from the clock's zero and took each request for hours of work.
- A request's retransmission after its answer counted as one in progress for seconds.

--- a/internal/connection/admission/admission.go
+++ b/internal/connection/admission/admission.go
@@ -1,4 +1,4 @@
-// Package admission limits the rate of openings of a target that has just started.
+// Package admission limits the openings of a target that has just started, or that is loaded.
 //
 // # The model
 //
@@ -8,12 +8,23 @@
 // agent, in a Limiter. The agent reports the remaining openings to the balancers, which use
 // other targets before an opening has to be returned.
 //
+// A loaded target keeps a queue of requests, first come, first served. What is admitted last
+// is served late, whoever asks, and what does not fit is rejected after its trip. A
+// ClassLimiter ends the room of less urgent classes earlier, so that the more urgent ones
+// find some and the queue stays short enough for the objectives.
+//
 // # Usage
 //
 //	var l admission.Limiter
 //	if l.Remaining(now, rate) > 0 {
 //		l.Record(now) // and deliver the opening to the target
 //	}
+//
+//	var c admission.ClassLimiter
+//	c.ObserveOpening(now, class, elsewhere)
+//	if c.Admits(now, load, class, insist) {
+//		c.RecordAdmission(now, class) // and deliver the opening to the target
+//	}
 package admission
 
 import (
--- a/internal/connection/stream/class.go
+++ b/internal/connection/stream/class.go
@@ -12,12 +12,14 @@
 // in two years. The bound is needed since anyone can send an opening.
 const maxClasses = 2400
 
-func encodeClass(c *routing.Class) *wire.Class {
+// encodeClass encodes a class with the more urgent priorities that are present, a set of bits.
+func encodeClass(c *routing.Class, urgent uint32) *wire.Class {
 	if c == nil {
 		return nil
 	}
 	return &wire.Class{
 		Priority: uint32(c.Priority), Repeatable: c.Repeatable, Objective: uint32(c.Objective), Limit: uint32(c.Limit),
+		Urgent: urgent,
 	}
 }
 
--- a/internal/connection/stream/class_test.go
+++ b/internal/connection/stream/class_test.go
@@ -5,8 +5,10 @@
 	"net/netip"
 	"testing"
 
+	"github.com/wagtailtray/wagtailtray/internal/request/segment"
 	"github.com/wagtailtray/wagtailtray/internal/version/routing"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
+	"github.com/wagtailtray/wagtailtray/pkg/wire"
 )
 
 // A target that is full for seconds does not count as slower than an idle one.
@@ -33,9 +35,41 @@
 	cs := classes{}
 	for i := range 2 * maxClasses {
 		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 443)
-		cs.learn(a, encodeClass(&routing.Class{Priority: 1}))
+		cs.learn(a, encodeClass(&routing.Class{Priority: 1}, 0))
 	}
 	if len(cs) != maxClasses {
 		t.Errorf("%d classes are stored, want %d", len(cs), maxClasses)
 	}
 }
+
+// Guards against an agent that starts while requests are in progress and takes each for hours
+// of work.
+func TestWorkAfterStartUnderLoad(t *testing.T) {
+	f := newScriptedTarget(t)
+	c, _ := f.openAndRequest()
+	f.advance(50)
+	f.sendFromTarget(c, segment.Segment{Flags: segment.Acks, Seq: 6, Size: 900})
+	for range 2 * minMeasuredAnswers {
+		f.request(true)
+		f.advance(50)
+	}
+	if mean := f.tracker.work.mean(); mean > 100 {
+		t.Errorf("the measured work of a request is %.0f ms", mean)
+	}
+}
+
+// Guards against a retransmission that arrives after the answer and counts as a request in
+// progress for seconds.
+func TestRetransmittedRequestIsNoLoad(t *testing.T) {
+	f := newScriptedTarget(t)
+	c, _ := f.openAndRequest()
+	f.sendFromTarget(c, segment.Segment{Flags: segment.Acks, Seq: 6, Size: 900})
+	f.sendFromCaller(c, wire.Verb_VERB_CARRY, segment.Segment{Flags: segment.Acks, Ack: 6, Size: 200})
+	if n := len(f.tracker.busyFlows); n != 0 {
+		t.Errorf("%d requests count as in progress", n)
+	}
+	f.sendFromCaller(c, wire.Verb_VERB_CARRY, segment.Segment{Flags: segment.Acks, Ack: 6, Seq: 200, Size: 200})
+	if n := len(f.tracker.busyFlows); n != 1 {
+		t.Errorf("%d requests count as in progress, want the second one", n)
+	}
+}
--- a/internal/connection/stream/load.go
+++ b/internal/connection/stream/load.go
@@ -10,6 +10,9 @@
 	flowIdleAfter = 5 * clock.Second
 	// maxRequestTime bounds how long a request counts as in progress.
 	maxRequestTime = 5 * clock.Second
+	// awaitedTimeout is how long the first request of a fresh flow counts as expected: callers
+	// send it as soon as the flow is open.
+	awaitedTimeout = 500 * clock.Millis(1)
 	// sweepInterval is the interval at which expired flows are removed.
 	sweepInterval = clock.Second
 	// endedFlowRetention is how long an ended flow is kept: its last packets may be
@@ -57,6 +60,11 @@
 // sampleLoad updates the mean number of requests in progress, weighted by the time since
 // the last sample.
 func (tr *Tracker) sampleLoad(now clock.Millis) {
+	for id, f := range tr.awaitedFlows {
+		if now.Sub(f.openedAt) > awaitedTimeout {
+			delete(tr.awaitedFlows, id)
+		}
+	}
 	busy := 0
 	for id, f := range tr.busyFlows {
 		if now.Sub(f.busySince) > maxRequestTime {
@@ -65,7 +73,9 @@
 		}
 		busy++
 	}
-	tr.work.addSample(min(busy, tr.upstream.slots), now.Sub(tr.lastSample))
+	if tr.lastSample != 0 {
+		tr.work.addSample(min(busy, tr.upstream.slots), now.Sub(tr.lastSample))
+	}
 	weight := min(float64(now.Sub(tr.lastSample))/float64(loadWindow), 1)
 	tr.load += (float64(busy) - tr.load) * weight
 	tr.lastSample = now
--- a/internal/connection/stream/opening.go
+++ b/internal/connection/stream/opening.go
@@ -34,6 +34,7 @@
 	}
 	f.lastSeen, f.ended, f.inherited = now, false, false
 	f.service, f.homeRegions, f.class = service, s.table.HomeRegions(id), s.table.Class(id)
+	s.observeClass(now, f)
 	if f.search == nil {
 		f.answers = nil
 	}
@@ -74,7 +75,7 @@
 func (s *Steerer) openParcel(f *flow, packet []byte) *wire.Parcel {
 	return &wire.Parcel{
 		Verb: wire.Verb_VERB_OPEN, Service: f.service, Packet: packet, Warming: uint32(s.warmingRate(f.service)),
-		Class: encodeClass(f.class),
+		Class: encodeClass(f.class, f.moreUrgent), Insist: f.busyReturns >= maxBusyReturns,
 	}
 }
 
@@ -93,7 +94,11 @@
 
 // placeOpening sends an opening packet to the target of lowest cost that was not tried yet.
 func (s *Steerer) placeOpening(now clock.Millis, id segment.Flow, f *flow, packet []byte) {
-	t, ok := s.Targets.Choose(now, s.demand(f))
+	t, ok, refused := s.chooseAdmitting(now, f)
+	if refused && f.pending == 0 {
+		s.refuseBusy(now, id, f)
+		return
+	}
 	if !ok {
 		s.handleUnplaced(now, id, f, packet)
 		return
@@ -161,7 +166,7 @@
 // before and did not answer, as there are no others.
 func (s *Steerer) resendToTried(now clock.Millis, id segment.Flow, f *flow, packet []byte) {
 	ts, demand := s.Targets, s.demand(f)
-	demand.Tried = nil
+	demand.Tried, demand.IgnoreRefusals = nil, true
 	for _, a := range f.tried {
 		t, ok := ts.Find(a)
 		if !ok || t.Service != f.service || !ts.usable(now, t, &demand, true) {
@@ -182,6 +187,12 @@
 		f.tried = append(f.tried, from)
 	}
 	s.out.record(Event{Kind: Declined, Flow: id, Target: from, Service: f.service, Reason: p.Cause.String()})
+	if p.Cause == wire.Cause_CAUSE_BUSY {
+		f.busyReturns++
+		if f.pending > 0 {
+			return // the other copy may have been accepted
+		}
+	}
 	if _, known := f.owner.Confirmed(); known || f.search != nil {
 		return
 	}
--- a/internal/connection/stream/outcome.go
+++ b/internal/connection/stream/outcome.go
@@ -54,6 +54,10 @@
 	Restored        EventKind = "restored"
 	Queued          EventKind = "waits"
 	Evacuation      EventKind = "evacuation"
+	// Busy is an opening that an agent returned since its target is loaded, and Overload one
+	// that a balancer refused since the targets are.
+	Busy     EventKind = "busy"
+	Overload EventKind = "overload"
 )
 
 // Event is a decision with the inputs that led to it.
--- a/internal/connection/stream/placement.go
+++ b/internal/connection/stream/placement.go
@@ -20,6 +20,10 @@
 	WarmingRate int
 	// Class describes the flow's requests; nil if it is not known.
 	Class *routing.Class
+	// IgnoreRefusals also permits targets that refuse the class by their last report.
+	IgnoreRefusals bool
+	// RemoteOnly excludes the targets of the balancer's own failure domain.
+	RemoteOnly bool
 	// Tried are the agents to which the opening was already sent.
 	Tried []netip.AddrPort
 }
@@ -71,7 +75,9 @@
 // targets that fail requests.
 func (ts *Targets) usable(now clock.Millis, t *Target, req *PlacementRequest, failing bool) bool {
 	opens := t.AcceptsFlows(now) || failing && t.failing(now)
-	return opens && ts.allowed(t.Domain, req) && t.hasRoom(now, req.WarmingRate) && !slices.Contains(req.Tried, t.Address)
+	admits := req.IgnoreRefusals || !t.refuses(now, req.Class)
+	reachable := !req.RemoteOnly || t.Domain != ts.domain
+	return opens && admits && reachable && ts.allowed(t.Domain, req) && t.hasRoom(now, req.WarmingRate) && !slices.Contains(req.Tried, t.Address)
 }
 
 // hasRoom reports whether a target that is slow after its start accepts another opening, as
--- a/internal/connection/stream/report.go
+++ b/internal/connection/stream/report.go
@@ -36,8 +36,17 @@
 // free slot.
 func (tr *Tracker) recordRequestEnd(now clock.Millis, id segment.Flow, f *trackedFlow, answered bool) {
 	u := &tr.upstream
+	// Callers that have left count as requests in progress for a while, so a small lead says
+	// nothing.
+	early := f.turn-tr.ended > u.slots
+	tr.ended++
 	if answered {
-		tr.work.addAnswer()
+		if early {
+			tr.recordRejection(now, id, f)
+		} else {
+			tr.work.addAnswer()
+			tr.classLimiter.RecordAnswer(f.ahead)
+		}
 		tr.recordLatency(now.Sub(f.busySince))
 		if u.outlier.recordSuccess(now) {
 			tr.recordCondition(now, "answers again")
@@ -48,6 +57,7 @@
 	full := working > max(u.slots, 1)
 	reason := "the target reset the request"
 	if full {
+		tr.classLimiter.RecordRejection(now, working-1)
 		reason = "the target is full and reset the request"
 	}
 	tr.out.record(Event{
@@ -59,6 +69,17 @@
 	}
 }
 
+// recordRejection records a request that the target answered before its turn: it serves
+// requests in the order of their arrival, so it has rejected this one for lack of room.
+func (tr *Tracker) recordRejection(now clock.Millis, id segment.Flow, f *trackedFlow) {
+	others := len(tr.busyFlows) - 1
+	tr.classLimiter.RecordRejection(now, others)
+	tr.out.record(Event{
+		Kind: Failed, Flow: id, Target: f.balancer, Service: tr.settings.Service, Age: now.Sub(f.busySince), Count: others,
+		Reason: "the target is full and rejected the request",
+	})
+}
+
 // recordLatency records the latency of a request.
 func (tr *Tracker) recordLatency(latency clock.Millis) {
 	tr.out.Latencies = append(tr.out.Latencies, latency)
@@ -93,6 +114,7 @@
 		Cold: uint32(max(u.coldUntil.Sub(now), 0)), Restarting: tr.stopping, Probe: probe,
 		Room: uint32(room), Serving: uint32(math.Ceil(tr.meanLatency)),
 		Work: uint32(tr.work.mean() * microsPerMilli), Running: uint32(len(tr.busyFlows)) + 1,
+		Refused: tr.classLimiter.Refused(now, tr.currentLoad()),
 	}
 }
 
--- a/internal/connection/stream/steer.go
+++ b/internal/connection/stream/steer.go
@@ -5,6 +5,7 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"github.com/wagtailtray/wagtailtray/internal/connection/admission"
 	"github.com/wagtailtray/wagtailtray/internal/request/segment"
 	"github.com/wagtailtray/wagtailtray/internal/version/routing"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
@@ -41,10 +42,14 @@
 	homeRegions []string
 	// class describes its requests; nil if it is not known.
 	class *routing.Class
+	// moreUrgent are the more urgent priorities present when it was opened.
+	moreUrgent uint32
 	// tried lists the agents that the opening packet was sent to; pending counts
 	// those that have not answered.
 	tried   []netip.AddrPort
 	pending int
+	// busyReturns counts the targets that returned the opening packet since they are loaded.
+	busyReturns int
 	// openedAt is when the first opening packet arrived, lastSeen when any packet last did.
 	openedAt clock.Millis
 	lastSeen clock.Millis
@@ -96,13 +101,19 @@
 	// there was no route or target.
 	started clock.Millis
 	queued  []queuedOpening
-	out     Outcome
+	// leastShares holds, by priority, how many openings this balancer may still pass on
+	// although the targets refuse their class.
+	leastShares [routing.MaxPriority + 1]float64
+	// presence holds, by service, the priorities of the openings seen lately.
+	presence map[string]*admission.Presence
+	out      Outcome
 }
 
 // NewSteerer returns a Steerer without targets and flows.
 func NewSteerer(now clock.Millis, settings Settings) *Steerer {
 	s := &Steerer{
 		settings: settings, started: now, Targets: NewTargets(settings.Domain, settings.Regions, settings.Seed),
+		presence:    map[string]*admission.Presence{},
 		relayBucket: newQuestionBucket(settings.CPUShare), history: routing.NewHistory(settings.FlowTTL.Duration()),
 	}
 	s.questions = newQuestions(settings.CPUShare, s.isSearching)
@@ -124,6 +135,7 @@
 		return false
 	}
 	s.table = t
+	clear(s.presence) // its services may be gone
 	s.history.SetCurrent(now, t)
 	s.retryQueued(now)
 	return true
--- a/internal/connection/stream/summary.go
+++ b/internal/connection/stream/summary.go
@@ -62,7 +62,7 @@
 		Report: &wire.Report{
 			Name: r.Name, Service: r.Service, Epoch: r.Epoch, Sequence: r.Sequence, Born: r.Born,
 			Condition: r.Condition, Slots: r.Slots, Flows: r.Flows, Busy: r.Busy, Cold: r.Cold, Restarting: r.Restarting,
-			Room: r.Room, Serving: r.Serving,
+			Room: r.Room, Serving: r.Serving, Refused: r.Refused,
 		},
 	}
 }
@@ -74,6 +74,7 @@
 		Condition: t.Condition, Slots: uint32(t.Slots), Flows: uint32(t.Flows), Busy: uint32(t.Busy * busyScale),
 		Cold: uint32(max(t.ColdUntil.Sub(now), 0)), Restarting: t.Restarting, Room: uint32(t.room),
 		Serving: uint32(t.MeanLatency), Work: uint32(t.Work * microsPerMilli), Running: t.encodeRunning(),
+		Refused: t.refused,
 	}
 }
 
--- a/internal/connection/stream/target.go
+++ b/internal/connection/stream/target.go
@@ -81,6 +81,8 @@
 	// sentLoaded is set if the target's slots were in use when its load was last sent to
 	// remote balancers.
 	sentLoaded bool
+	// refused are the priorities whose openings the target returns, as a set of bits.
+	refused uint32
 	// suspicionLogged is set if the target's suspicion has been logged.
 	suspicionLogged bool
 }
@@ -143,7 +145,7 @@
 	t.Restarting = r.Restarting
 	t.HeardAt = now
 	t.placed, t.placedBefore = 0, 0
-	t.room = int(r.Room)
+	t.room, t.refused = int(r.Room), r.Refused
 	t.unansweredSince, t.unresponsiveAt = 0, 0
 }
 
--- a/internal/connection/stream/tracker.go
+++ b/internal/connection/stream/tracker.go
@@ -57,13 +57,30 @@
 	lastOut    clock.Millis
 	openedAt   clock.Millis
 	busySince  clock.Millis
-	endedAt    clock.Millis
+	// ahead is the number of requests in progress when its request arrived, and turn the value
+	// of Tracker.ended from which the target can work on it.
+	ahead int
+	turn  int
+	// received is the sequence number after its caller's last data; zero if there was none.
+	received uint32
+	endedAt  clock.Millis
 }
 
 func (f *trackedFlow) lastPacket() clock.Millis {
 	return max(f.lastIn, f.lastOut)
 }
 
+// isNewData records a caller's data and reports whether it is new. A retransmission that
+// arrives after the answer is no request; it would count as one in progress for seconds.
+func (f *trackedFlow) isNewData(seg *segment.Segment) bool {
+	end := seg.Seq + uint32(seg.Size)
+	if f.received != 0 && int32(end-f.received) <= 0 {
+		return false
+	}
+	f.received = end
+	return true
+}
+
 // Tracker tracks the flows and the state of an agent's target and decides what the agent
 // does with each packet and parcel. It is not safe for concurrent use.
 type Tracker struct {
@@ -71,9 +88,13 @@
 	flows    *simplelru.LRU[segment.Flow, *trackedFlow]
 	// busyFlows are the flows with a request in progress; activeFlows is the number of
 	// flows in use at the last sweep.
-	busyFlows   map[segment.Flow]*trackedFlow
-	activeFlows int
-	lastSweep   clock.Millis
+	busyFlows map[segment.Flow]*trackedFlow
+	// ended counts the requests that the target has answered or reset.
+	ended int
+	// awaitedFlows are the flows admitted lately whose first request has not arrived.
+	awaitedFlows map[segment.Flow]*trackedFlow
+	activeFlows  int
+	lastSweep    clock.Millis
 	// denied are flows whose packets the target has returned, or that ended with an earlier
 	// target.
 	denied      *simplelru.LRU[segment.Flow, struct{}]
@@ -84,6 +105,8 @@
 	domainStatus evacuation.DomainStatus
 	window       admission.Limiter
 	warmingRate  int
+	// classLimiter limits openings by class while the target is loaded.
+	classLimiter admission.ClassLimiter
 	// reportedCondition is the target's condition last reported to balancers.
 	reportedCondition wire.Condition
 	sequence          uint64
@@ -104,9 +127,12 @@
 
 // NewTracker returns a Tracker without any state of its target.
 func NewTracker(now clock.Millis, settings TrackerSettings) *Tracker {
-	tr := &Tracker{settings: settings, startedAt: now, busyFlows: map[segment.Flow]*trackedFlow{}, classes: classes{}}
+	tr := &Tracker{settings: settings, startedAt: now, busyFlows: map[segment.Flow]*trackedFlow{}, awaitedFlows: map[segment.Flow]*trackedFlow{}, classes: classes{}}
 	tr.checkpoints = checkpointState{enabled: settings.Checkpoint, sender: checkpoint.NewSender()}
-	tr.flows, _ = simplelru.NewLRU(max(settings.MaxFlows, 1), func(id segment.Flow, _ *trackedFlow) { delete(tr.busyFlows, id) })
+	tr.flows, _ = simplelru.NewLRU(max(settings.MaxFlows, 1), func(id segment.Flow, _ *trackedFlow) {
+		delete(tr.busyFlows, id)
+		delete(tr.awaitedFlows, id)
+	})
 	tr.denied, _ = simplelru.NewLRU[segment.Flow, struct{}](max(settings.MaxFlows, 1), nil)
 	return tr
 }
@@ -155,7 +181,7 @@
 		ok = false
 	}
 	if !ok {
-		if cause := tr.admit(now, int(p.Warming)); cause != wire.Cause_CAUSE_NONE {
+		if cause := tr.admit(now, id, p); cause != wire.Cause_CAUSE_NONE {
 			tr.returnPacket(now, from, seg, p.Packet, cause)
 			return
 		}
@@ -163,6 +189,7 @@
 		tr.flows.Add(id, f)
 		tr.denied.Remove(id)
 		tr.activeFlows++
+		tr.awaitedFlows[id] = f
 	}
 	f.balancer, f.lastIn = from, now
 	if tr.upstream.pendingSince == 0 {
@@ -171,9 +198,9 @@
 	tr.deliver(from, p.Packet)
 }
 
-// admit returns why a new opening is rejected, or CAUSE_NONE. rate is the number of
-// openings a second that the target accepts while it is slow after its start.
-func (tr *Tracker) admit(now clock.Millis, rate int) wire.Cause {
+// admit returns why a new opening is rejected, or CAUSE_NONE.
+func (tr *Tracker) admit(now clock.Millis, id segment.Flow, p *wire.Parcel) wire.Cause {
+	rate := int(p.Warming)
 	tr.warmingRate = rate
 	warming := rate > 0 && tr.cold(now)
 	switch {
@@ -183,6 +210,8 @@
 		return wire.Cause_CAUSE_EVACUATED
 	case warming && tr.window.Remaining(now, rate) == 0:
 		return wire.Cause_CAUSE_WARMING
+	case !tr.admitClass(now, id, p):
+		return wire.Cause_CAUSE_BUSY
 	case !tr.upstream.outlier.admitFlow(now):
 		return wire.Cause_CAUSE_TRIAL
 	}
@@ -248,9 +277,12 @@
 	if !f.unverified {
 		f.open = true
 	}
-	if seg.Size > 0 && f.busySince == 0 {
+	if seg.Size > 0 && f.isNewData(seg) && f.busySince == 0 {
 		f.busySince = now
+		f.ahead = len(tr.busyFlows)
+		f.turn = tr.ended + max(f.ahead+1-tr.upstream.slots, 0)
 		tr.busyFlows[id] = f
+		tr.observeRequest(now, id)
 	}
 	tr.deliver(from, p.Packet)
 }
@@ -294,6 +326,7 @@
 	if seg.Size > 0 || seg.Flags&(segment.Ends|segment.Resets) != 0 {
 		f.busySince = 0
 		delete(tr.busyFlows, id)
+		delete(tr.awaitedFlows, id)
 	}
 	if seg.Flags&(segment.Ends|segment.Resets) != 0 && f.endedAt == 0 {
 		f.endedAt = now
--- a/internal/connection/stream/upstream.go
+++ b/internal/connection/stream/upstream.go
@@ -1,6 +1,7 @@
 package stream
 
 import (
+	"github.com/wagtailtray/wagtailtray/internal/connection/admission"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
 	"github.com/wagtailtray/wagtailtray/pkg/wire"
 )
@@ -94,6 +95,7 @@
 		tr.resetFlowsBefore(u.lastHeartbeat, "the target restarted")
 		tr.sawAllFlows = true
 		*u = upstream{}
+		tr.classLimiter = admission.ClassLimiter{}
 	}
 	if !u.known && !tr.sawAllFlows {
 		tr.window.AssumeFull(now)
