--- a/internal/connection/stream/outcome.go
+++ b/internal/connection/stream/outcome.go
@@ -55,6 +55,10 @@
 	Queued          EventKind = "waits"
 	Evacuation      EventKind = "evacuation"
 	Short           EventKind = "short"
+	// Busy is an opening that an agent returned since its target is loaded, and Overload one
+	// that a balancer refused since the targets are.
+	Busy     EventKind = "busy"
+	Overload EventKind = "overload"
 )
 
 // Event is a decision with the inputs that led to it.
--- a/internal/connection/stream/tracker.go
+++ b/internal/connection/stream/tracker.go
@@ -62,6 +62,12 @@
 	// previous is an earlier flow from the same port, until the target has accepted this one.
 	previous  *trackedFlow
 	busySince clock.Millis
+	// ahead is the number of requests in progress when its request arrived, and turn the value
+	// of Tracker.ended from which the target can work on it.
+	ahead int
+	turn  int
+	// received is the sequence number after its caller's last data; zero if there was none.
+	received uint32
 	// endedAt is when the target ended the flow; callerEnded is set if its caller has ended
 	// it too, or it was reset.
 	endedAt     clock.Millis
@@ -89,6 +95,17 @@
 	}
 }
 
+// isNewData records a caller's data and reports whether it is new. A retransmission that
+// arrives after the answer is no request; it would count as one in progress for seconds.
+func (f *trackedFlow) isNewData(seg *segment.Segment) bool {
+	end := seg.Seq + uint32(seg.Size)
+	if f.received != 0 && int32(end-f.received) <= 0 {
+		return false
+	}
+	f.received = end
+	return true
+}
+
 // Tracker tracks the flows and the state of an agent's target and decides what the agent
 // does with each packet and parcel. It is not safe for concurrent use.
 type Tracker struct {
@@ -96,9 +113,13 @@
 	flows    *simplelru.LRU[segment.Flow, *trackedFlow]
 	// busyFlows are the flows with a request in progress; activeFlows is the number of
 	// flows in use at the last sweep.
-	busyFlows   map[segment.Flow]*trackedFlow
-	activeFlows int
-	lastSweep   clock.Millis
+	busyFlows map[segment.Flow]*trackedFlow
+	// ended counts the requests that the target has answered or reset.
+	ended int
+	// awaitedFlows are the flows admitted lately whose first request has not arrived.
+	awaitedFlows map[segment.Flow]*trackedFlow
+	activeFlows  int
+	lastSweep    clock.Millis
 	// denied are flows whose packets the target has returned, or that ended with an earlier
 	// target.
 	denied      *simplelru.LRU[segment.Flow, struct{}]
@@ -109,6 +130,8 @@
 	domainStatus evacuation.DomainStatus
 	window       admission.Limiter
 	warmingRate  int
+	// classLimiter limits openings by class while the target is loaded.
+	classLimiter admission.ClassLimiter
 	// reportedCondition is the target's condition last reported to balancers.
 	reportedCondition wire.Condition
 	sequence          uint64
@@ -129,9 +152,12 @@
 
 // NewTracker returns a Tracker without any state of its target.
 func NewTracker(now clock.Millis, settings TrackerSettings) *Tracker {
-	tr := &Tracker{settings: settings, startedAt: now, busyFlows: map[segment.Flow]*trackedFlow{}, classes: classes{}}
+	tr := &Tracker{settings: settings, startedAt: now, busyFlows: map[segment.Flow]*trackedFlow{}, awaitedFlows: map[segment.Flow]*trackedFlow{}, classes: classes{}}
 	tr.checkpoints = checkpointState{enabled: settings.Checkpoint, sender: checkpoint.NewSender()}
-	tr.flows, _ = simplelru.NewLRU(max(settings.MaxFlows, 1), func(id segment.Flow, _ *trackedFlow) { delete(tr.busyFlows, id) })
+	tr.flows, _ = simplelru.NewLRU(max(settings.MaxFlows, 1), func(id segment.Flow, _ *trackedFlow) {
+		delete(tr.busyFlows, id)
+		delete(tr.awaitedFlows, id)
+	})
 	tr.denied, _ = simplelru.NewLRU[segment.Flow, struct{}](max(settings.MaxFlows, 1), nil)
 	return tr
 }
@@ -177,7 +203,7 @@
 	tr.classes.learn(id.Listener, p.Class)
 	f, ok := tr.flows.Get(id)
 	if !ok || f.endedAt != 0 || !f.opening.mayResend(now, seg.Seq, false) {
-		if cause := tr.admit(now, int(p.Warming)); cause != wire.Cause_CAUSE_NONE {
+		if cause := tr.admit(now, id, p); cause != wire.Cause_CAUSE_NONE {
 			tr.returnPacket(now, from, seg, p.Packet, cause)
 			return
 		}
@@ -201,12 +227,13 @@
 	delete(tr.busyFlows, id)
 	tr.denied.Remove(id)
 	tr.activeFlows++
+	tr.awaitedFlows[id] = f
 	return f
 }
 
-// admit returns why a new opening is rejected, or CAUSE_NONE. rate is the number of
-// openings a second that the target accepts while it is slow after its start.
-func (tr *Tracker) admit(now clock.Millis, rate int) wire.Cause {
+// admit returns why a new opening is rejected, or CAUSE_NONE.
+func (tr *Tracker) admit(now clock.Millis, id segment.Flow, p *wire.Parcel) wire.Cause {
+	rate := int(p.Warming)
 	tr.warmingRate = rate
 	warming := rate > 0 && tr.cold(now)
 	switch {
@@ -216,6 +243,8 @@
 		return wire.Cause_CAUSE_EVACUATED
 	case warming && tr.window.Remaining(now, rate) == 0:
 		return wire.Cause_CAUSE_WARMING
+	case !tr.admitClass(now, id, p):
+		return wire.Cause_CAUSE_BUSY
 	case !tr.upstream.outlier.admitFlow(now):
 		return wire.Cause_CAUSE_TRIAL
 	}
@@ -282,9 +311,12 @@
 	if !f.unverified {
 		f.open = true
 	}
-	if seg.Size > 0 && f.busySince == 0 {
+	if seg.Size > 0 && f.isNewData(seg) && f.busySince == 0 {
 		f.busySince = now
+		f.ahead = len(tr.busyFlows)
+		f.turn = tr.ended + max(f.ahead+1-tr.upstream.slots, 0)
 		tr.busyFlows[id] = f
+		tr.observeRequest(now, id)
 	}
 	tr.deliver(from, p.Packet)
 }
@@ -330,6 +362,7 @@
 	if seg.Size > 0 || seg.Flags&(segment.Ends|segment.Resets) != 0 {
 		f.busySince = 0
 		delete(tr.busyFlows, id)
+		delete(tr.awaitedFlows, id)
 	}
 	if seg.Flags&(segment.Ends|segment.Resets) != 0 && f.endedAt == 0 {
 		f.endedAt = now
