--- a/internal/connection/stream/outcome.go
+++ b/internal/connection/stream/outcome.go
@@ -4,6 +4,7 @@
 	"net/netip"
 
 	"github.com/wagtailtray/wagtailtray/internal/request/segment"
+	"github.com/wagtailtray/wagtailtray/internal/version/routing"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
 	"github.com/wagtailtray/wagtailtray/pkg/wire"
 )
@@ -68,7 +69,9 @@
 	Target  netip.AddrPort
 	Name    string
 	Service string
-	Reason  string
+	// Class is that of the flow's requests, where it has decided; nil if it has not.
+	Class  *routing.Class
+	Reason string
 	// Age is the age of the deciding input: a target's report, or a search.
 	Age clock.Millis
 	// Count depends on the decision: answers, flows or attempts.
--- a/internal/connection/stream/overload.go
+++ b/internal/connection/stream/overload.go
@@ -52,8 +52,8 @@
 	}
 	tr.out.record(Event{
 		Kind: Busy, Flow: id, Service: tr.settings.Service, Age: now.Sub(tr.upstream.lastSeen), Count: load.Running,
-		Reason: fmt.Sprintf("priority %d: %d running, %d awaited, limit %.1f, work %.1f ms",
-			class.Priority, load.Running, load.Awaited, tr.classLimiter.Limit(now, load, class.Priority), load.Work),
+		Class: &class, Reason: fmt.Sprintf("the target is loaded: %d running, %d awaited, limit %.1f, work %.1f ms",
+			load.Running, load.Awaited, tr.classLimiter.Limit(now, load, class.Priority), load.Work),
 	})
 	return false
 }
@@ -128,14 +128,10 @@
 // refuseBusy resets the caller of an opening that no target admits under its load: no request
 // has run, so it may try again.
 func (s *Steerer) refuseBusy(now clock.Millis, id segment.Flow, f *flow) {
-	priority := 0
-	if f.class != nil {
-		priority = f.class.Priority
-	}
 	refusing, known, age := s.Targets.refusing(now, f)
 	s.out.record(Event{
 		Kind: Overload, Flow: id, Service: f.service, Age: age, Count: f.busyReturns, Version: s.version(),
-		Reason: fmt.Sprintf("priority %d: refused by %d of %d targets, returned by %d", priority, refusing, known, f.busyReturns),
+		Class: f.class, Reason: fmt.Sprintf("the targets are loaded: refused by %d of %d, returned by %d", refusing, known, f.busyReturns),
 	})
 	s.out.Resets = append(s.out.Resets, Reset{Flow: id})
 	s.flows.Remove(id)
--- a/internal/process/decisions/decisions.go
+++ b/internal/process/decisions/decisions.go
@@ -18,6 +18,7 @@
 package decisions
 
 import (
+	"fmt"
 	"io"
 	"time"
 
@@ -81,7 +82,7 @@
 	scope     tally.Scope
 	limiter   *rate.Limiter
 	omitted   int
-	counters  map[stream.EventKind]tally.Counter
+	counters  map[string]tally.Counter
 	latencies map[stream.EventKind]tally.Histogram
 }
 
@@ -90,7 +91,7 @@
 func NewRecorder(log zerolog.Logger, scope tally.Scope) *Recorder {
 	r := &Recorder{
 		log: log, scope: scope, limiter: rate.NewLimiter(maxLinesPerSecond, maxLineBurst),
-		counters: map[stream.EventKind]tally.Counter{}, latencies: map[stream.EventKind]tally.Histogram{},
+		counters: map[string]tally.Counter{}, latencies: map[stream.EventKind]tally.Histogram{},
 	}
 	for _, k := range latencyKinds {
 		r.latencies[k] = scope.Histogram("latency_"+string(k), Buckets)
@@ -111,17 +112,25 @@
 }
 
 func (r *Recorder) count(e *stream.Event) {
-	c, ok := r.counters[e.Kind]
-	if !ok {
-		c = r.scope.Counter("decisions_" + string(e.Kind))
-		r.counters[e.Kind] = c
+	r.counter(string(e.Kind)).Inc(1)
+	if e.Class != nil {
+		r.counter(fmt.Sprintf("%s_priority_%d", e.Kind, e.Class.Priority)).Inc(1)
 	}
-	c.Inc(1)
 	if h, ok := r.latencies[e.Kind]; ok {
 		h.RecordDuration(e.Age.Duration())
 	}
 }
 
+// counter returns the counter of a kind of event.
+func (r *Recorder) counter(name string) tally.Counter {
+	c, ok := r.counters[name]
+	if !ok {
+		c = r.scope.Counter("decisions_" + name)
+		r.counters[name] = c
+	}
+	return c
+}
+
 func (r *Recorder) write(e *stream.Event) {
 	line := r.log.Info().Str("event", string(e.Kind))
 	if e.Flow.Caller.IsValid() {
@@ -137,6 +146,9 @@
 			line = line.Str(text.key, text.value)
 		}
 	}
+	if e.Class != nil {
+		line = line.Int("priority", e.Class.Priority)
+	}
 	if e.Version != 0 {
 		line = line.Uint64("version", e.Version)
 	}
--- a/internal/process/decisions/load.go
+++ b/internal/process/decisions/load.go
@@ -19,7 +19,7 @@
 var turnedAway = map[string]bool{
 	string(stream.Refused): true, string(stream.NoTarget): true, string(stream.Unrouted): true,
 	string(stream.Returned): true, string(stream.Queued): true, string(stream.Failed): true,
-	string(stream.FlowReset): true,
+	string(stream.FlowReset): true, string(stream.Busy): true, string(stream.Overload): true,
 }
 
 // rotationEvents are the events of balancers that lack processor time.
