stream: the two signs of a rejected request are named

A newcomer met early, turn and overtook, and could not tell why there are two. Both are now methods whose comments say what each proves: an end long before the request had a slot proves a rejection and teaches the capacity; an overtaken one is only no measure of work. Ruled out: joining them, since their thresholds differ, and with them what a target's capacity is taken for. No behaviour changes.

--- a/internal/connection/stream/report.go
+++ b/internal/connection/stream/report.go
@@ -36,13 +36,11 @@
 // free slot.
 func (tr *Tracker) recordRequestEnd(now clock.Millis, id segment.Flow, f *trackedFlow, answered bool) {
 	u := &tr.upstream
-	// Callers that have left count as requests in progress for a while, so a small lead says
-	// nothing.
-	early := f.turn-tr.ended > u.slots
-	tr.ended++
+	rejected := tr.endedBeforeStart(f)
+	tr.endedRequests++
 	if answered {
 		switch {
-		case early:
+		case rejected:
 			tr.recordRejection(now, id, f)
 		case !tr.overtook(f):
 			tr.work.addAnswer()
@@ -70,8 +68,20 @@
 	}
 }
 
-// overtook reports whether a request ended before older ones that take all slots. The target
-// has then refused it: it would look fast because it is full if that counted as its work.
+// endedBeforeStart reports whether a request ended long before the target had a slot for it.
+// It serves requests in the order of their arrival, so it has rejected this one for lack of
+// room.
+//
+// Requests whose callers have left count as in progress for a while, so less than a round of
+// the slots proves nothing.
+func (tr *Tracker) endedBeforeStart(f *trackedFlow) bool {
+	return f.startsAfter-tr.endedRequests > tr.upstream.slots
+}
+
+// overtook reports whether a request ended while older ones took all slots. It may have been
+// rejected, which endedBeforeStart sees only if the queue is long. This is no proof that the
+// target is full, but enough not to count the answer: a target that rejects requests would
+// look fast.
 func (tr *Tracker) overtook(f *trackedFlow) bool {
 	left := max(tr.upstream.slots, 1)
 	for _, o := range tr.busyFlows {
@@ -85,8 +95,7 @@
 	return false
 }
 
-// recordRejection records a request that the target answered before its turn: it serves
-// requests in the order of their arrival, so it has rejected this one for lack of room.
+// recordRejection records a request that the target rejected for lack of room by an answer.
 func (tr *Tracker) recordRejection(now clock.Millis, id segment.Flow, f *trackedFlow) {
 	others := len(tr.busyFlows) - 1
 	tr.classLimiter.RecordRejection(now, others)
--- a/internal/connection/stream/tracker.go
+++ b/internal/connection/stream/tracker.go
@@ -62,10 +62,10 @@
 	// previous is an earlier flow from the same port, until the target has accepted this one.
 	previous  *trackedFlow
 	busySince clock.Millis
-	// ahead is the number of requests in progress when its request arrived, and turn the value
-	// of Tracker.ended from which the target can work on it.
-	ahead int
-	turn  int
+	// ahead is the number of requests in progress when its request arrived, and startsAfter
+	// the value of Tracker.endedRequests from which the target has a slot for it.
+	ahead       int
+	startsAfter int
 	// received is the sequence number after its caller's last data; zero if there was none.
 	received uint32
 	// endedAt is when the target ended the flow; callerEnded is set if its caller has ended
@@ -114,8 +114,8 @@
 	// busyFlows are the flows with a request in progress; activeFlows is the number of
 	// flows in use at the last sweep.
 	busyFlows map[segment.Flow]*trackedFlow
-	// ended counts the requests that the target has answered or reset.
-	ended int
+	// endedRequests counts those that the target has answered or reset.
+	endedRequests int
 	// awaitedFlows are the flows admitted lately whose first request has not arrived.
 	awaitedFlows map[segment.Flow]*trackedFlow
 	activeFlows  int
@@ -314,7 +314,7 @@
 	if seg.Size > 0 && f.isNewData(seg) && f.busySince == 0 {
 		f.busySince = now
 		f.ahead = len(tr.busyFlows)
-		f.turn = tr.ended + max(f.ahead+1-tr.upstream.slots, 0)
+		f.startsAfter = tr.endedRequests + max(f.ahead+1-tr.upstream.slots, 0)
 		tr.busyFlows[id] = f
 		tr.observeRequest(now, id)
 	}
