--- a/internal/connection/stream/class.go
+++ b/internal/connection/stream/class.go
@@ -8,8 +8,8 @@
 	"github.com/wagtailtray/wagtailtray/pkg/wire"
 )
 
-// maxClasses bounds the listeners whose class an agent stores: twice the number planned for
-// in two years. The bound is needed since anyone can send an opening.
+// maxClasses bounds the listeners whose class an agent stores, since anyone can send an
+// opening.
 const maxClasses = 2400
 
 // encodeClass encodes a class with the more urgent priorities that are present, a set of bits.
