stream: shares between failure domains tell what they compute

The two estimates of what remote targets can take had neither names nor the equation behind them; leave said nothing of what it returns; a count of distances read like a set of them; the median and the pressure stood in the loop's function. No behaviour changes.

--- a/internal/connection/stream/choose.go
+++ b/internal/connection/stream/choose.go
@@ -118,7 +118,7 @@
 	}
 	load := ts.serviceLoad(now, g)
 	near, far := ts.candidates(now, g.targets, load, &req)
-	from := ts.leave(load, &near, &far)
+	from := ts.selectDomain(load, &near, &far)
 	from.margin = load.margin()
 	return from.choose(ts.random.Float64(), ts.balancers)
 }
--- a/internal/connection/stream/completion.go
+++ b/internal/connection/stream/completion.go
@@ -29,7 +29,7 @@
 	// target has free slots, 1 once one has none.
 	pressure float64
 	split    split
-	// works is a buffer for the median.
+	// works holds the targets' known works, of which work is the median.
 	works []float64
 }
 
@@ -42,7 +42,7 @@
 	l.computedAt, l.works = now, l.works[:0]
 	highest := 0.0
 	var near domainLoad
-	var far [distances]domainLoad
+	var far [numDistances]domainLoad
 	for _, t := range g.targets {
 		if !t.AcceptsFlows(now) || ts.evacuated.Has(t.Domain) {
 			continue
@@ -58,15 +58,22 @@
 		}
 	}
 	l.split.update(now, near, far)
-	l.work, l.pressure = 0, 0
-	if len(l.works) > 0 {
-		slices.Sort(l.works)
-		l.work = l.works[len(l.works)/2]
-		l.pressure = min(max((highest-lowLoad)/(highLoad-lowLoad), 0), 1)
-	}
+	l.updatePressure(highest)
 	return l
 }
 
+// updatePressure updates the median work and the pressure, given the highest fraction of a
+// target's slots in use. Without a known work there is no expected time of completion.
+func (l *serviceLoad) updatePressure(highest float64) {
+	if len(l.works) == 0 {
+		l.work, l.pressure = 0, 0
+		return
+	}
+	slices.Sort(l.works)
+	l.work = l.works[len(l.works)/2]
+	l.pressure = min(max((highest-lowLoad)/(highLoad-lowLoad), 0), 1)
+}
+
 // slotWork returns by how much a request at the target delays the next one, as a multiple of
 // the service's median work.
 func (l *serviceLoad) slotWork(now clock.Millis, t *Target) float64 {
--- a/internal/connection/stream/domains.go
+++ b/internal/connection/stream/domains.go
@@ -35,7 +35,7 @@
 const (
 	sameRegion distance = iota
 	otherRegion
-	distances
+	numDistances
 )
 
 // domainLoad is the load of a service's targets in one or more failure domains.
@@ -55,23 +55,25 @@
 	d.slots += slots
 }
 
-// room returns the share of a local demand for which the remote targets have room, given the
-// local slots and the share that the remote load already includes.
-func (d *domainLoad) room(demand, slots, sent float64) float64 {
+// acceptableShare returns the share of a local demand that the remote targets can take, given
+// the number of local slots and the share that the remote load already includes.
+func (d *domainLoad) acceptableShare(demand, localSlots, sent float64) float64 {
 	if d.slots == 0 {
 		return 0
 	}
-	others := d.busy - sent*demand
-	free := (roomLoad*d.slots - others) / demand
-	ratio := remoteLoadRatio / slots
-	balanced := (ratio - others/d.slots/demand) / (ratio + 1/d.slots)
-	return max(free, balanced, 0)
+	own := d.busy - sent*demand
+	upToRoomLoad := (roomLoad*d.slots - own) / demand
+	// The share x with (own + x*demand)/slots = remoteLoadRatio * (1-x)*demand/localSlots.
+	ratio := remoteLoadRatio / localSlots
+	upToRatio := (ratio - own/d.slots/demand) / (ratio + 1/d.slots)
+	return max(upToRoomLoad, upToRatio, 0)
 }
 
 // remoteShare is the share of a service's flows that this failure domain sends to others.
 type remoteShare struct {
 	share float64
-	// sent is the mean share while the requests were placed that the last reports show.
+	// sent is the mean share of the last splitWindow, in which the requests were placed that
+	// the last reports show.
 	sent float64
 }
 
@@ -85,14 +87,14 @@
 // For example, 40 requests are in progress on 30 slots: a third of the flows leaves. The load
 // falls to 27, and the demand is still 40.
 type split struct {
-	remote    [distances]remoteShare
+	remote    [numDistances]remoteShare
 	updatedAt clock.Millis
 	// recorded is set if the last recorded event says that flows leave.
 	recorded bool
 }
 
 // update computes the shares anew from the last reports.
-func (s *split) update(now clock.Millis, near domainLoad, far [distances]domainLoad) {
+func (s *split) update(now clock.Millis, near domainLoad, far [numDistances]domainLoad) {
 	period := min(now.Sub(s.updatedAt), splitWindow)
 	s.updatedAt = now
 	staying := 1.0
@@ -107,7 +109,7 @@
 		r := &s.remote[i]
 		wanted := 0.0
 		if lacking > 0 {
-			wanted = min(lacking, far[i].room(demand, near.slots, r.sent))
+			wanted = min(lacking, far[i].acceptableShare(demand, near.slots, r.sent))
 		}
 		lacking -= wanted
 		r.share += (wanted - r.share) * meanWeight(period, splitDelay)
@@ -169,12 +171,12 @@
 	return otherRegion
 }
 
-// leave returns the remote candidates if a flow leaves the failure domain, else the local
-// ones.
+// selectDomain returns the remote candidates if a flow leaves the failure domain, else the
+// local ones.
 //
 // Flows placed locally since the last reports also count against remote targets: when all
 // callers reconnect at once, remote balancers place as many flows there.
-func (ts *Targets) leave(l *serviceLoad, near, far *candidates) *candidates {
+func (ts *Targets) selectDomain(l *serviceLoad, near, far *candidates) *candidates {
 	if len(near.all) == 0 {
 		return far
 	}
--- a/internal/connection/stream/domains_test.go
+++ b/internal/connection/stream/domains_test.go
@@ -8,9 +8,9 @@
 
 // settleSplit returns the shares that a failure domain sends away once the loads, which
 // include what was sent, no longer change.
-func settleSplit(demand float64, far [distances]domainLoad) [distances]float64 {
+func settleSplit(demand float64, far [numDistances]domainLoad) [numDistances]float64 {
 	var s split
-	var shares [distances]float64
+	var shares [numDistances]float64
 	for now := testNow; now < testNow+10*clock.Second; now += serviceLoadInterval {
 		near, loads := domainLoad{busy: demand, slots: 30}, far
 		for i, r := range s.remote {
@@ -31,15 +31,15 @@
 	tests := []struct {
 		name      string
 		demand    float64
-		far       [distances]domainLoad
-		low, high [distances]float64
+		far       [numDistances]domainLoad
+		low, high [numDistances]float64
 	}{
-		{"room at home", 25, [distances]domainLoad{{5, 30}, {5, 30}}, [distances]float64{0, 0}, [distances]float64{0, 0}},
-		{"room nearby", 40, [distances]domainLoad{{5, 30}, {5, 30}}, [distances]float64{0.3, 0}, [distances]float64{0.35, 0}},
-		{"room far away", 40, [distances]domainLoad{{40, 30}, {5, 30}}, [distances]float64{0, 0.3}, [distances]float64{0, 0.35}},
-		{"some room nearby", 40, [distances]domainLoad{{20, 30}, {5, 30}}, [distances]float64{0.1, 0.15}, [distances]float64{0.2, 0.25}},
-		{"no room", 40, [distances]domainLoad{{40, 30}, {40, 30}}, [distances]float64{0, 0}, [distances]float64{0, 0}},
-		{"no targets elsewhere", 40, [distances]domainLoad{}, [distances]float64{0, 0}, [distances]float64{0, 0}},
+		{"room at home", 25, [numDistances]domainLoad{{5, 30}, {5, 30}}, [numDistances]float64{0, 0}, [numDistances]float64{0, 0}},
+		{"room nearby", 40, [numDistances]domainLoad{{5, 30}, {5, 30}}, [numDistances]float64{0.3, 0}, [numDistances]float64{0.35, 0}},
+		{"room far away", 40, [numDistances]domainLoad{{40, 30}, {5, 30}}, [numDistances]float64{0, 0.3}, [numDistances]float64{0, 0.35}},
+		{"some room nearby", 40, [numDistances]domainLoad{{20, 30}, {5, 30}}, [numDistances]float64{0.1, 0.15}, [numDistances]float64{0.2, 0.25}},
+		{"no room", 40, [numDistances]domainLoad{{40, 30}, {40, 30}}, [numDistances]float64{0, 0}, [numDistances]float64{0, 0}},
+		{"no targets elsewhere", 40, [numDistances]domainLoad{}, [numDistances]float64{0, 0}, [numDistances]float64{0, 0}},
 	}
 	for _, test := range tests {
 		got := settleSplit(test.demand, test.far)
