checkpoint, streambalancer: two intervals, two names

listingInterval meant in one package for how long an entry counts as listed, in another how often missing lists are checked. They are listedTTL and listCheckInterval now. Pings and lists no longer justify their timeouts by the speed of a store. No behaviour changes.

--- a/internal/connection/checkpoint/sender.go
+++ b/internal/connection/checkpoint/sender.go
@@ -19,9 +19,9 @@
 	maxAckLag = 30_000
 	// flowsPerPart limits a part to one frame.
 	flowsPerPart = 80
-	// listingInterval is how long the entry of a target without new flows counts as
-	// present: keepers remove entries after maxClockSkew and the lifetime of a flow.
-	listingInterval = 30 * clock.Second
+	// listedTTL is how long a target counts as listed without a new entry: keepers remove
+	// entries after maxClockSkew and the lifetime of a flow.
+	listedTTL = 30 * clock.Second
 )
 
 // Sender decides when an agent sends its entry to the keeper.
@@ -30,7 +30,7 @@
 	// store.
 	storedBorn uint64
 	storedAcks map[segment.Flow]uint32
-	// listed reports whether the store has an entry of the target, written after listedAt.
+	// listed is set if the store has an entry of the target that was written after listedAt.
 	listed   bool
 	listedAt clock.Millis
 	// sent is the entry that was sent last, with its number.
@@ -51,7 +51,7 @@
 		return false
 	}
 	s.nextDue = now + s.sendInterval
-	if now.Sub(s.listedAt) > listingInterval {
+	if now.Sub(s.listedAt) > listedTTL {
 		s.listed, s.listedAt = false, now
 	}
 	return true
--- a/internal/connection/checkpoint/sender_test.go
+++ b/internal/connection/checkpoint/sender_test.go
@@ -51,7 +51,7 @@
 func TestTargetWithoutFlowsIsListed(t *testing.T) {
 	s, k := NewSender(), testKeeper()
 	e := testEntry(1, 0)
-	for i, at := range []clock.Millis{testNow, testNow + listingInterval + 1} {
+	for i, at := range []clock.Millis{testNow, testNow + listedTTL + 1} {
 		if !s.Due(at) || !s.NeedsSend(&e) {
 			t.Fatalf("entry %d is not sent", i)
 		}
--- a/internal/process/streambalancer/listing.go
+++ b/internal/process/streambalancer/listing.go
@@ -26,10 +26,9 @@
 	// is billed.
 	unknownListDelay = 800 * clock.Millis(1)
 	remoteListDelay  = soloStartDelay + 400*clock.Millis(1)
-	// listingInterval is how often to check which lists are missing, and listTimeout bounds
-	// a read: a slow store takes a few hundred milliseconds. The mean delay after a failed
-	// read starts at minListRetryDelay and doubles.
-	listingInterval   = 100 * clock.Millis(1)
+	// listCheckInterval is how often to check which lists are missing, and listTimeout bounds
+	// a read. The mean delay after a failed read starts at minListRetryDelay and doubles.
+	listCheckInterval = 100 * clock.Millis(1)
 	listTimeout       = 800 * time.Millisecond
 	minListRetryDelay = 300 * clock.Millis(1)
 	maxListRetryDelay = clock.Second
@@ -51,13 +50,14 @@
 
 // listing tracks the targets that the store lists in each failure domain.
 //
-// Agents learn late of balancers that replace all others, so silence does not prove that
-// there is no target, and the flows of one that was not heard would be reset. The checkpoints
-// list all targets.
+// Agents learn late of balancers that replace all others. Silence therefore does not prove
+// that there is no target, and a balancer that took it for proof would reset the flows of a
+// target that it has not heard. The checkpoints list all targets.
 type listing struct {
 	// domains are all failure domains of the deployment.
 	domains []string
 	states  map[string]listState
+	// pending holds the agents of each listPending list that are neither heard nor lost.
 	pending map[string][]netip.AddrPort
 	// localReadAt is when the list of the local failure domain was read; zero before that.
 	localReadAt clock.Millis
@@ -142,7 +142,7 @@
 func (b *Balancer) runListing(ctx context.Context) {
 	retry := minListRetryDelay
 	for {
-		pause := listingInterval
+		pause := listCheckInterval
 		if !b.readDueLists(ctx) {
 			pause = retry/2 + rand.N(retry)
 			retry = min(2*retry, maxListRetryDelay)
--- a/internal/process/streambalancer/watch.go
+++ b/internal/process/streambalancer/watch.go
@@ -18,7 +18,7 @@
 
 const (
 	// pingInterval is the time after an answer until the platform is pinged, and
-	// pingTimeout how long a ping may take: a slow platform needs some 400 ms.
+	// pingTimeout how long a ping may take.
 	pingInterval = 1100 * clock.Millis(1)
 	pingTimeout  = 600 * clock.Millis(1)
 	// pingRetryDelay is the delay after a ping that was refused at once.
