rotation: one condition a line, and plain words for the limit

What ends a rest early stood in one expression; objectiveShare named another share in package admission; callers that bear a lateness were a figure of speech. A constant's comment described the one after it. No behaviour changes.

--- a/internal/process/rotation/lateness.go
+++ b/internal/process/rotation/lateness.go
@@ -7,13 +7,15 @@
 )
 
 const (
+	// latenessWindow is the averaging time of the mean, and recentWindow a shorter one that
+	// tells a lasting delay from one that is over.
 	latenessWindow = clock.Second
-	// recentWindow is the averaging time that tells a lasting delay from one that is over.
-	recentWindow = 100 * clock.Millis(1)
-	// maxSample bounds one sample. A sample of minPause or more is a pause of the whole VM,
-	// which shows no lack of processor time, and is ignored.
+	recentWindow   = 100 * clock.Millis(1)
+	// maxSample bounds the weight of one delay in the means.
 	maxSample = 50 * clock.Millis(1)
-	minPause  = clock.Second
+	// minPause is the delay from which the whole VM must have paused. That shows no lack of
+	// processor time, so such a delay is ignored.
+	minPause = clock.Second
 )
 
 // Lateness is the mean delay with which a process's timers fire.
--- a/internal/process/rotation/rotation.go
+++ b/internal/process/rotation/rotation.go
@@ -106,7 +106,7 @@
 }
 
 // Update decides whether the balancer takes part from now on. maxLateness is the mean
-// lateness in milliseconds that callers bear.
+// lateness in milliseconds above which it is late.
 func (r *Rotation) Update(now clock.Millis, maxLateness float64, d Domain) Change {
 	if r.resting {
 		return r.updateResting(now, maxLateness, d)
@@ -196,8 +196,9 @@
 func (r *Rotation) updateResting(now clock.Millis, maxLateness float64, d Domain) Change {
 	rested := now.Sub(r.changedAt)
 	over := rested >= r.rest && (r.Lateness.Mean() <= maxLateness || rested >= maxRest)
-	needed := rested >= settleTime && 2*d.countInTime(maxLateness) <= d.Known || 2*d.countActive() <= d.Known
-	if !over && !needed {
+	fewInTime := rested >= settleTime && 2*d.countInTime(maxLateness) <= d.Known
+	fewActive := 2*d.countActive() <= d.Known
+	if !over && !fewInTime && !fewActive {
 		return Unchanged
 	}
 	r.resting, r.changedAt, r.relapses, r.late = false, now, over, false
--- a/internal/process/streambalancer/rotation.go
+++ b/internal/process/streambalancer/rotation.go
@@ -9,10 +9,10 @@
 	// rotationInterval is how often a balancer decides whether it takes part in the
 	// fabric's rotation.
 	rotationInterval = 100 * clock.Millis(1)
-	// objectiveShare is the share of the shortest latency objective that the mean lateness
+	// latenessShare is the share of the shortest latency objective that the mean lateness
 	// may take: a request's packets pass a balancer several times, and some wait several
 	// times as long as the mean.
-	objectiveShare = 0.03
+	latenessShare = 0.03
 	// defaultObjective is the objective where the configuration states none.
 	defaultObjective = 200 * clock.Millis(1)
 	// minLatenessLimit and maxLatenessLimit bound the result, in milliseconds: timers have a
@@ -46,13 +46,13 @@
 		Int("known", domain.Known).Int("heard", len(domain.Peers)).Send()
 }
 
-// maxLateness returns the mean lateness in milliseconds that callers bear.
+// maxLateness returns the mean lateness in milliseconds above which the balancer is late.
 func (b *Balancer) maxLateness() float64 {
 	objective := defaultObjective
 	if t := b.steerer.Table(); t != nil && t.MinObjective() > 0 {
 		objective = t.MinObjective()
 	}
-	return min(max(objectiveShare*float64(objective), minLatenessLimit), maxLatenessLimit)
+	return min(max(latenessShare*float64(objective), minLatenessLimit), maxLatenessLimit)
 }
 
 // rotationDomain returns what this balancer knows of the balancers of its failure domain.
