admission: comments say which number is limited, and why

Room that ends earlier and urgent ones that find some are pictures; the comments now name requests, limits and mean load. elsewhere was described in two ways. The balancer's least share is passOnLeastShare: it takes nothing. No behaviour changes.

--- a/internal/connection/admission/admission.go
+++ b/internal/connection/admission/admission.go
@@ -8,10 +8,10 @@
 // agent, in a Limiter. The agent reports the remaining openings to the balancers, which use
 // other targets before an opening has to be returned.
 //
-// A loaded target keeps a queue of requests, first come, first served. What is admitted last
-// is served late, whoever asks, and what does not fit is rejected after its trip. A
-// ClassLimiter ends the room of less urgent classes earlier, so that the more urgent ones
-// find some and the queue stays short enough for the objectives.
+// A loaded target serves its queue of requests in the order of their arrival, whatever their
+// class, and rejects those that do not fit. A ClassLimiter, also in the agent, limits the
+// requests at the target, and admits less urgent classes only up to a lower number. So there
+// is room for the more urgent ones, and the queue is short enough for the objectives.
 //
 // # Usage
 //
--- a/internal/connection/admission/classes.go
+++ b/internal/connection/admission/classes.go
@@ -59,8 +59,8 @@
 	// objective is that of the class seen last, at seenAt.
 	objective clock.Millis
 	seenAt    clock.Millis
-	// elsewhere are the more urgent priorities among the openings for other targets, as a set
-	// of bits.
+	// elsewhere are the more urgent priorities among the openings for all targets, as a set of
+	// bits.
 	elsewhere uint32
 	// admitted is the exponentially decayed number of admitted openings.
 	admitted float64
@@ -74,8 +74,8 @@
 }
 
 // ObserveOpening records an opening of a class. elsewhere are the more urgent priorities among
-// the openings for all targets: urgent ones avoid a loaded target, which must not fill up with
-// others for that reason.
+// the openings for all targets. Balancers send urgent openings to targets with less load, so
+// this one may see none of them, and must keep room for them all the same.
 func (c *ClassLimiter) ObserveOpening(now clock.Millis, class *routing.Class, elsewhere uint32) {
 	c.ObserveRequest(now, class)
 	c.priorities[class.Priority].elsewhere = elsewhere
@@ -122,9 +122,8 @@
 
 // fits reports whether there is room for another opening of a priority.
 //
-// The flow of an opening may stay and bring further requests. A moment without a queue is
-// therefore not enough for a class if there are more urgent ones: these would find the room
-// taken by flows that must not be reset.
+// A flow may carry further requests and must not be reset once it is open. If more urgent
+// classes are present, a short queue is therefore not enough: the mean load must be low too.
 func (c *ClassLimiter) fits(now clock.Millis, load Load, priority int) bool {
 	next := load.next()
 	if c.rank(priority) > 0 {
@@ -136,9 +135,9 @@
 // Limit returns the number of requests at the target up to which it admits openings of a
 // priority.
 //
-// The room of a class ends where its requests would take more than a share of their objective:
-// one that is served late takes the place of one that would be served in time. The share
-// shrinks with the number of more urgent classes present, so that these still find room.
+// At the limit, a request takes a share of its class's objective: one that is served late takes
+// the place of one that would be served in time. The share shrinks with the number of more
+// urgent classes present, so that there is room for these.
 func (c *ClassLimiter) Limit(now clock.Millis, load Load, priority int) float64 {
 	limit := c.room(now, load)
 	if load.Slots == 0 {
--- a/internal/connection/stream/overload.go
+++ b/internal/connection/stream/overload.go
@@ -90,18 +90,16 @@
 	if !s.Targets.hasUsable(now, &demand) {
 		return nil, false, false
 	}
-	if !s.takeLeastShare(demand.Class.Priority) {
+	if !s.passOnLeastShare(demand.Class.Priority) {
 		return nil, false, true
 	}
 	t, ok = s.Targets.Choose(now, demand)
 	return t, ok, false
 }
 
-// takeLeastShare reports whether an opening that all targets would refuse is passed on.
-//
-// Each class keeps a least share of the openings that a target admits. Agents decide that, of
-// the same share of the openings that balancers would refuse.
-func (s *Steerer) takeLeastShare(priority int) bool {
+// passOnLeastShare reports whether an opening is sent to a target although all would refuse
+// it. Agents admit a least share of each class's openings, so they must get some to decide on.
+func (s *Steerer) passOnLeastShare(priority int) bool {
 	credit := &s.leastShares[priority]
 	*credit += admission.LeastShare
 	if *credit < 1 {
