decisions: rejection events, not who was turned away

The summary counts openings that were refused or delayed and requests that failed; its comments and names say so. Output and events are unchanged.

--- a/cmd/wagtailtray/load.go
+++ b/cmd/wagtailtray/load.go
@@ -10,7 +10,7 @@
 	Logs []string `arg:"" help:"Logs of balancers and agents; - for standard input." default:"-"`
 }
 
-// Run prints who was turned away, by event, service, priority and reason.
+// Run prints how many callers were refused or had to wait, by event, service, priority and reason.
 func (c *loadCommand) Run() error {
 	all, err := readLogs(c.Logs)
 	if err != nil {
--- a/internal/process/decisions/load.go
+++ b/internal/process/decisions/load.go
@@ -14,9 +14,9 @@
 	"github.com/wagtailtray/wagtailtray/internal/process/rotation"
 )
 
-// turnedAway are the events of openings that were refused or had to wait, and of requests
+// rejectionEvents are the events of openings that were refused or had to wait, and of requests
 // that failed.
-var turnedAway = map[string]bool{
+var rejectionEvents = map[string]bool{
 	string(stream.Refused): true, string(stream.NoTarget): true, string(stream.Unrouted): true,
 	string(stream.Returned): true, string(stream.Queued): true, string(stream.Failed): true,
 	string(stream.FlowReset): true,
@@ -27,7 +27,8 @@
 	rotation.BecameLate.String(): true, rotation.Rested.String(): true, rotation.Returned.String(): true,
 }
 
-// LoadKey groups lines about openings and requests that were turned away for one reason.
+// LoadKey groups lines about openings that were refused or delayed, and requests that failed,
+// for one reason.
 type LoadKey struct {
 	Event   string
 	Service string
@@ -49,8 +50,8 @@
 	Processes map[string]bool
 }
 
-// Load tells from logs who was turned away, where and why, and which balancers are short of
-// processor time.
+// Load summarizes which openings were refused or delayed and which requests failed, where and
+// why, and which balancers lack processor time.
 type Load struct {
 	Groups []LoadGroup
 	// Rotation holds the last line of each balancer that was late or rested.
@@ -73,7 +74,7 @@
 		if l.Start == 0 || line.Time < l.Start {
 			l.Start = line.Time
 		}
-		if turnedAway[line.Event] {
+		if rejectionEvents[line.Event] {
 			addToGroup(groups, line)
 		}
 		if rotationEvents[line.Event] && line.Time >= last[line.Process].Time {
