--- a/internal/process/streambalancer/watch.go
+++ b/internal/process/streambalancer/watch.go
@@ -61,14 +61,7 @@
 func (b *Balancer) watchTable(ctx context.Context, current *routing.Table) (time.Duration, bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go func() {
-		select {
-		case <-b.configWake:
-			b.wakeConfig()
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
+	go b.cancelOnWake(ctx, cancel)
 	go b.renewWatch(ctx, cancel)
 	change, err := b.deps.Source.Wait(ctx, max(b.seenRevision, current.Revision))
 	if ctx.Err() != nil {
@@ -82,6 +75,17 @@
 	return coalesceDelay, b.applyTable(change.Table, err, "platform")
 }
 
+// cancelOnWake cancels a wait if the loop that syncs the configuration is woken, and leaves
+// the wake-up for that loop.
+func (b *Balancer) cancelOnWake(ctx context.Context, cancel context.CancelFunc) {
+	select {
+	case <-b.configWake:
+		b.wakeConfig()
+		cancel()
+	case <-ctx.Done():
+	}
+}
+
 // renewWatch pings the platform during a wait, and cancels the wait if the platform no
 // longer answers.
 func (b *Balancer) renewWatch(ctx context.Context, cancel context.CancelFunc) {
