stream: one question a function in the choice under load

chooseAdmitting decided on returns, on failure domains and on the least share; the last is chooseRefusing. Literals of three steps on one line are broken up. No behaviour changes.

--- a/internal/connection/stream/opening.go
+++ b/internal/connection/stream/opening.go
@@ -123,7 +123,10 @@
 }
 
 func (s *Steerer) demand(f *flow) PlacementRequest {
-	return PlacementRequest{Service: f.service, HomeRegions: f.homeRegions, WarmingRate: s.warmingRate(f.service), Class: f.class, Tried: f.tried}
+	return PlacementRequest{
+		Service: f.service, HomeRegions: f.homeRegions, WarmingRate: s.warmingRate(f.service), Class: f.class,
+		Tried: f.tried,
+	}
 }
 
 // placeOpening sends an opening packet to the target of lowest cost that was not tried yet.
@@ -162,7 +165,8 @@
 		return
 	}
 	demand := s.demand(f)
-	if s.Targets.anyWarming(now, &demand) && s.queueOpening(now, queuedOpening{id: id, seq: f.opening.seq, queuedAt: f.opening.at, packet: packet, tried: len(f.tried)}, "targets have just started") {
+	queued := queuedOpening{id: id, seq: f.opening.seq, queuedAt: f.opening.at, packet: packet, tried: len(f.tried)}
+	if s.Targets.anyWarming(now, &demand) && s.queueOpening(now, queued, "targets have just started") {
 		s.flows.Remove(id)
 		return
 	}
--- a/internal/connection/stream/overload.go
+++ b/internal/connection/stream/overload.go
@@ -70,7 +70,8 @@
 // While some have room by their reports, the most urgent class is not refused: once enough have
 // returned it, another one is asked to serve it late.
 func (s *Steerer) chooseAdmitting(now clock.Millis, f *flow) (t *Target, ok, refused bool) {
-	if f.busyReturns > maxBusyReturns || f.busyReturns == maxBusyReturns && f.moreUrgent != 0 {
+	mostUrgent := f.moreUrgent == 0
+	if f.busyReturns > maxBusyReturns || f.busyReturns == maxBusyReturns && !mostUrgent {
 		return nil, false, true
 	}
 	demand := s.demand(f)
@@ -86,6 +87,12 @@
 	if f.busyReturns > 0 {
 		return nil, false, true
 	}
+	return s.chooseRefusing(now, demand)
+}
+
+// chooseRefusing chooses a target for an opening of a class that no target admits by its
+// report, if the opening belongs to the least share of its class. Otherwise it reports refused.
+func (s *Steerer) chooseRefusing(now clock.Millis, demand PlacementRequest) (t *Target, ok, refused bool) {
 	demand.IgnoreRefusals = true
 	if !s.Targets.hasUsable(now, &demand) {
 		return nil, false, false
--- a/internal/connection/stream/queue.go
+++ b/internal/connection/stream/queue.go
@@ -106,7 +106,10 @@
 		return true
 	}
 	dest := destination{listener: id.Listener, service: service}
-	demand := PlacementRequest{Service: service, HomeRegions: s.table.HomeRegions(id), WarmingRate: s.warmingRate(service), Class: s.table.Class(id), IgnoreRefusals: true}
+	demand := PlacementRequest{
+		Service: service, HomeRegions: s.table.HomeRegions(id), WarmingRate: s.warmingRate(service),
+		Class: s.table.Class(id), IgnoreRefusals: true,
+	}
 	full[dest] = full[dest] || !s.Targets.hasUsable(now, &demand) && (!s.knowsTargets(now) || s.Targets.blockedReason(now, &demand) == "")
 	return !full[dest]
 }
--- a/internal/connection/stream/tracker.go
+++ b/internal/connection/stream/tracker.go
@@ -152,7 +152,10 @@
 
 // NewTracker returns a Tracker without any state of its target.
 func NewTracker(now clock.Millis, settings TrackerSettings) *Tracker {
-	tr := &Tracker{settings: settings, startedAt: now, busyFlows: map[segment.Flow]*trackedFlow{}, awaitedFlows: map[segment.Flow]*trackedFlow{}, classes: classes{}}
+	tr := &Tracker{
+		settings: settings, startedAt: now, classes: classes{},
+		busyFlows: map[segment.Flow]*trackedFlow{}, awaitedFlows: map[segment.Flow]*trackedFlow{},
+	}
 	tr.checkpoints = checkpointState{enabled: settings.Checkpoint, sender: checkpoint.NewSender()}
 	tr.flows, _ = simplelru.NewLRU(max(settings.MaxFlows, 1), func(id segment.Flow, _ *trackedFlow) {
 		delete(tr.busyFlows, id)
