--- a/internal/connection/admission/classes.go
+++ b/internal/connection/admission/classes.go
@@ -191,7 +191,7 @@
 }
 
 func (c *ClassLimiter) decay(now clock.Millis) {
-	factor := math.Exp(-float64(max(now.Sub(c.decayedAt), 0)) / float64(shareWindow))
+	factor := decayFactor(now.Sub(c.decayedAt), shareWindow)
 	for i := range c.priorities {
 		c.priorities[i].admitted *= factor
 	}
--- a/internal/connection/admission/presence.go
+++ b/internal/connection/admission/presence.go
@@ -26,7 +26,7 @@
 
 // Observe records a request or an opening.
 func (p *Presence) Observe(now clock.Millis, priority int) {
-	factor := math.Exp(-float64(max(now.Sub(p.decayedAt), 0)) / float64(presenceWindow))
+	factor := decayFactor(now.Sub(p.decayedAt), presenceWindow)
 	p.decayedAt = now
 	for i := range p.seen {
 		p.seen[i] *= factor
@@ -36,6 +36,11 @@
 	p.total++
 }
 
+// decayFactor returns the factor by which an exponentially decayed count decreases in a period.
+func decayFactor(period, window clock.Millis) float64 {
+	return math.Exp(-float64(max(period, 0)) / float64(window))
+}
+
 // MoreUrgent returns the present priorities that are more urgent than the given one, as a set
 // of bits.
 func (p *Presence) MoreUrgent(priority int) uint32 {
