--- a/internal/connection/stream/overload.go
+++ b/internal/connection/stream/overload.go
@@ -70,7 +70,8 @@
 // While some have room by their reports, the most urgent class is not refused: once enough have
 // returned it, another one is asked to serve it late.
 func (s *Steerer) chooseAdmitting(now clock.Millis, f *flow) (t *Target, ok, refused bool) {
-	if f.busyReturns > maxBusyReturns || f.busyReturns == maxBusyReturns && f.moreUrgent != 0 {
+	mostUrgent := f.moreUrgent == 0
+	if f.busyReturns > maxBusyReturns || f.busyReturns == maxBusyReturns && !mostUrgent {
 		return nil, false, true
 	}
 	demand := s.demand(f)
@@ -86,22 +87,26 @@
 	if f.busyReturns > 0 {
 		return nil, false, true
 	}
+	return s.chooseRefusing(now, demand)
+}
+
+// chooseRefusing chooses a target for an opening of a class that no target admits by its
+// report, if the opening belongs to the least share of its class. Otherwise it reports refused.
+func (s *Steerer) chooseRefusing(now clock.Millis, demand PlacementRequest) (t *Target, ok, refused bool) {
 	demand.IgnoreRefusals = true
 	if !s.Targets.hasUsable(now, &demand) {
 		return nil, false, false
 	}
-	if !s.takeLeastShare(demand.Class.Priority) {
+	if !s.passOnLeastShare(demand.Class.Priority) {
 		return nil, false, true
 	}
 	t, ok = s.Targets.Choose(now, demand)
 	return t, ok, false
 }
 
-// takeLeastShare reports whether an opening that all targets would refuse is passed on.
-//
-// Each class keeps a least share of the openings that a target admits. Agents decide that, of
-// the same share of the openings that balancers would refuse.
-func (s *Steerer) takeLeastShare(priority int) bool {
+// passOnLeastShare reports whether an opening is sent to a target although all would refuse
+// it. Agents admit a least share of each class's openings, so they must get some to decide on.
+func (s *Steerer) passOnLeastShare(priority int) bool {
 	credit := &s.leastShares[priority]
 	*credit += admission.LeastShare
 	if *credit < 1 {
