--- a/internal/connection/admission/classes.go
+++ b/internal/connection/admission/classes.go
@@ -146,13 +146,27 @@
 	share := 1 / float64(1+c.rank(priority))
 	slots := float64(load.Slots)
 	limit = slots + (limit-slots)*share
-	if objective := c.priorities[priority].objective; objective > 0 && load.Work > 0 {
+	if objective := c.objective(priority); objective > 0 && load.Work > 0 {
 		// By Little's law, requests take slots*t/work of the target's time in t.
 		limit = min(limit, slots*float64(objective)*objectiveShare*share/load.Work)
 	}
 	return max(limit, slots)
 }
 
+// objective returns the shortest objective of a priority and the more urgent ones present. A
+// class with a longer objective than a more urgent one would otherwise get as much room.
+func (c *ClassLimiter) objective(priority int) clock.Millis {
+	shortest := c.priorities[priority].objective
+	present := c.presence.MoreUrgent(priority)
+	for i := range priority {
+		o := c.priorities[i].objective
+		if present&(1<<i) != 0 && o > 0 && (shortest == 0 || o < shortest) {
+			shortest = o
+		}
+	}
+	return shortest
+}
+
 // Refused returns the priorities of which the target admits no openings, as a set of bits.
 func (c *ClassLimiter) Refused(now clock.Millis, load Load) uint32 {
 	refused := uint32(0)
--- a/internal/connection/admission/classes_test.go
+++ b/internal/connection/admission/classes_test.go
@@ -73,3 +73,18 @@
 		t.Error("room is kept for a class that is gone")
 	}
 }
+
+// Guards against a less urgent class that gets as much room as an urgent one because it states
+// a longer objective.
+func TestLongerObjectiveGetsNoMoreRoom(t *testing.T) {
+	c := &ClassLimiter{}
+	patient := &routing.Class{Priority: 6, Objective: 2 * urgent.Objective}
+	for range 10 {
+		c.ObserveRequest(testNow, urgent)
+		c.ObserveOpening(testNow, patient, 0)
+	}
+	load := Load{Slots: 4, Work: 40}
+	if u, p := c.Limit(testNow, load, urgent.Priority), c.Limit(testNow, load, patient.Priority); p > 0.6*u {
+		t.Errorf("limits of %.1f requests for the urgent class and %.1f for the other", u, p)
+	}
+}
--- a/internal/connection/stream/fuzz_test.go
+++ b/internal/connection/stream/fuzz_test.go
@@ -23,6 +23,7 @@
 // never hang for two seconds; no request may go to a target whose drain was acknowledged,
 // or to a service that was never in the routing table.
 func TestWorld(t *testing.T) {
+	t.Parallel()
 	count := seedCount
 	if more, err := strconv.Atoi(os.Getenv("WAGTAILTRAY_FUZZ")); err == nil {
 		count = more
--- a/internal/connection/stream/search_test.go
+++ b/internal/connection/stream/search_test.go
@@ -313,6 +313,7 @@
 // faster than searches end. The balancer's memory must stay bounded: it keeps a bounded
 // number of searches and bytes, and drops the answers about a flow when they expire.
 func TestFailedSearchesAreBounded(t *testing.T) {
+	t.Parallel()
 	s, _ := newSearchingSteerer(t, 4, 0)
 	s.flows.Resize(6 * maxSearches)
 	now := testNow
@@ -348,6 +349,7 @@
 // sent. The pending questions must stay bounded by the searches, and no parcel may ask
 // about a flow whose search has ended.
 func TestPendingQuestionsAreBounded(t *testing.T) {
+	t.Parallel()
 	s, _ := newSearchingSteerer(t, 2, 60)
 	s.flows.Resize(6 * maxSearches)
 	s.questions = newQuestions(10, s.isSearching)
--- a/internal/connection/stream/uneven_test.go
+++ b/internal/connection/stream/uneven_test.go
@@ -250,6 +250,7 @@
 // Guards against a slow target getting as many requests as a fast one, and against one that
 // hangs getting any number: their callers wait beside targets with room.
 func TestUnevenTargets(t *testing.T) {
+	t.Parallel()
 	forBalancers(t, func(t *testing.T, w *unevenLoad) {
 		slow, hanging := w.targets[0], w.targets[3]
 		work := slow.work
@@ -273,6 +274,7 @@
 // Guards against a failure domain at the top of its wave making callers wait while others
 // have room.
 func TestWavesOutOfStep(t *testing.T) {
+	t.Parallel()
 	forBalancers(t, func(t *testing.T, w *unevenLoad) {
 		w.rate = func(now clock.Millis, domain int) float64 {
 			return 1500 * (1 + 0.55*math.Sin(2*math.Pi*(float64(now)/13000+float64(domain)/3)))
@@ -285,6 +287,7 @@
 // Guards against a burst in one failure domain staying there, and against flows that still
 // leave it afterwards.
 func TestBurstInOneDomain(t *testing.T) {
+	t.Parallel()
 	forBalancers(t, func(t *testing.T, w *unevenLoad) {
 		w.rate = func(now clock.Millis, domain int) float64 {
 			if domain == 0 && now > 3*clock.Second && now < 9*clock.Second {
@@ -303,6 +306,7 @@
 // Guards against failure domains that are all short exchanging flows: the traffic between
 // them costs and serves nobody.
 func TestAllDomainsShort(t *testing.T) {
+	t.Parallel()
 	forBalancers(t, func(t *testing.T, w *unevenLoad) {
 		w.rate = func(clock.Millis, int) float64 { return 2600 }
 		w.run()
--- a/internal/process/streambalancer/config.go
+++ b/internal/process/streambalancer/config.go
@@ -193,7 +193,16 @@
 		}
 		pause = min(2*pause, maxRegisterDelay)
 	}
-	b.findPeers(ctx)
+	if b.alone() && b.knowsOthers() {
+		b.findPeers(ctx)
+	}
+}
+
+// knowsOthers reports whether the directory or the settings have named other balancers.
+func (b *Balancer) knowsOthers() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.peers.Sorted()) > 0
 }
 
 // findPeers reads current lists while no other balancer answers: a list that is some seconds
--- a/internal/process/streambalancer/restart_test.go
+++ b/internal/process/streambalancer/restart_test.go
@@ -22,6 +22,7 @@
 // balancer receives must not grow faster than the fleet, or it is busy with that while
 // callers wait: in a fleet of three hundred VMs each caller waited for seconds.
 func TestRestartOfAllVMs(t *testing.T) {
+	t.Parallel()
 	var all []processStats
 	for _, size := range fleetSizes {
 		f := newSimFleet(t, size, 0, func(_ int, fraction float64) float64 { return 300_000 * fraction })
@@ -52,6 +53,7 @@
 // within ten seconds. No
 // delay may exceed maxDelayMillis.
 func TestRestartOfSomeVMs(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name  string
 		until float64
@@ -121,6 +123,7 @@
 // running. Balancers may report a flow as unowned only once they have heard of every
 // target, and callers of lost flows wait until then.
 func TestSettledSoonAfterRestart(t *testing.T) {
+	t.Parallel()
 	const from, within = 5e6, 2e6
 	for _, size := range []fleetSize{{4, 10, 1}, {7, 10, 3}, {16, 44, 3}, {91, 204, 5}} {
 		for _, domains := range []int{1, size.domains} {
