streambalancer tests: the fleet behind the watch's tests has a file of its own

The fleet can also treat calls about evacuations differently and isolate balancers. No check has changed.

--- /dev/null
+++ b/internal/process/streambalancer/watch_fleet_test.go
@@ -0,0 +1,326 @@
+//go:build !race
+
+package streambalancer
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wagtailtray/wagtailtray/internal/version/evacuation"
+	"github.com/wagtailtray/wagtailtray/internal/version/routing"
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+	"github.com/wagtailtray/wagtailtray/pkg/platform"
+	"github.com/wagtailtray/wagtailtray/pkg/wire"
+)
+
+const (
+	// configBound is the time within which balancers must have a new version.
+	configBound = 3 * time.Second
+	// testHold is how long the store holds a wait without a change, and testHoldSlack how
+	// much longer a caller waits for an answer.
+	testHold      = 2 * time.Second
+	testHoldSlack = 900 * time.Millisecond
+	// testDelay is the delay of a datagram or of an answer of the store.
+	testDelay = 4 * time.Millisecond
+)
+
+// treatment is how the store treats the calls of a balancer.
+type treatment int
+
+const (
+	served treatment = iota
+	// silent swallows calls, also those that were pending when the silence began.
+	silent
+	// refused answers with platform.ErrUnavailable.
+	refused
+	// replicaOnly is silent except for reads that a replica can answer.
+	replicaOnly
+	// slow serves late.
+	slow
+)
+
+// watchedStore is the store of a watchFleet. Each change adds a version and an evacuation.
+type watchedStore struct {
+	mu         sync.Mutex
+	version    uint64
+	changed    chan struct{}
+	treatments map[int]treatment
+	// evacuationTreatments replaces treatments for the calls about evacuations, if not nil.
+	evacuationTreatments map[int]treatment
+	calls                int
+}
+
+func (s *watchedStore) treat(treatments map[int]treatment) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.treatments = treatments
+	s.wake()
+}
+
+func (s *watchedStore) treatEvacuations(treatments map[int]treatment) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evacuationTreatments = treatments
+	s.wake()
+}
+
+func (s *watchedStore) change() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.wake()
+}
+
+func (s *watchedStore) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *watchedStore) callCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *watchedStore) state(c storeClient) (uint64, <-chan struct{}, treatment) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	treatments := s.treatments
+	if c.evacuations && s.evacuationTreatments != nil {
+		treatments = s.evacuationTreatments
+	}
+	return s.version, s.changed, treatments[c.balancer]
+}
+
+// answer waits until the store answers, and returns its version.
+func (c storeClient) answer(ctx context.Context, ping bool) (uint64, error) {
+	c.store.mu.Lock()
+	c.store.calls++
+	c.store.mu.Unlock()
+	version, _, t := c.store.state(c)
+	delay := testDelay
+	switch {
+	case t == refused:
+		return 0, platform.ErrUnavailable
+	case t == silent, t == replicaOnly && !ping:
+		<-ctx.Done()
+		return 0, platform.ErrUnavailable
+	case t == slow:
+		delay *= 100
+	}
+	select {
+	case <-ctx.Done():
+		return 0, platform.ErrUnavailable
+	case <-time.After(delay):
+		return version, nil
+	}
+}
+
+// wait returns the version after the given one, or 0 if there was none for a while.
+func (c storeClient) wait(ctx context.Context, after uint64) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, testHold+testHoldSlack)
+	defer cancel()
+	hold := time.After(testHold)
+	if _, err := c.answer(ctx, false); err != nil {
+		return 0, err
+	}
+	for {
+		version, changed, t := c.store.state(c)
+		if t == silent || t == replicaOnly {
+			<-ctx.Done()
+			return 0, platform.ErrUnavailable
+		}
+		if version > after {
+			return version, nil
+		}
+		select {
+		case <-ctx.Done():
+			return 0, platform.ErrUnavailable
+		case <-hold:
+			return 0, nil
+		case <-changed:
+		}
+	}
+}
+
+// storeClient is the store as a balancer sees it.
+type storeClient struct {
+	store    *watchedStore
+	balancer int
+	// evacuations reports whether the calls are about evacuations.
+	evacuations bool
+}
+
+func (c storeClient) Ping(ctx context.Context) error {
+	_, err := c.answer(ctx, true)
+	return err
+}
+
+func (c storeClient) Read(ctx context.Context) (*routing.Table, error) {
+	v, err := c.answer(ctx, false)
+	return &routing.Table{Version: v, Revision: v}, err
+}
+
+func (c storeClient) Wait(ctx context.Context, revision uint64) (Change, error) {
+	v, err := c.wait(ctx, revision)
+	if err != nil || v == 0 {
+		return Change{Revision: revision}, err
+	}
+	return Change{Table: &routing.Table{Version: v, Revision: v}, Revision: v}, nil
+}
+
+// evacuationClient reads evacuations: the store's version is their revision.
+type evacuationClient struct{ storeClient }
+
+func (c evacuationClient) Read(ctx context.Context) (evacuation.Snapshot, error) {
+	v, err := c.answer(ctx, false)
+	return evacuation.New(v, []string{fmt.Sprint(v)}), err
+}
+
+func (c evacuationClient) Wait(ctx context.Context, after evacuation.Snapshot) (evacuation.Snapshot, error) {
+	v, err := c.wait(ctx, after.Revision)
+	if err != nil || v == 0 {
+		return after, err
+	}
+	return evacuation.New(v, []string{fmt.Sprint(v)}), nil
+}
+
+// watchFleet is a number of balancers whose loops run without a network, in the time of a
+// synctest bubble.
+type watchFleet struct {
+	t         *testing.T
+	store     *watchedStore
+	balancers []*Balancer
+	// isolated has the balancers that no parcel leaves or reaches.
+	isolated sync.Map
+}
+
+// watchLink delivers a balancer's parcels.
+type watchLink struct {
+	fleet *watchFleet
+	from  netip.AddrPort
+}
+
+func (l watchLink) Send(to netip.AddrPort, p *wire.Parcel) (int, error) {
+	data, err := p.MarshalVT()
+	time.AfterFunc(testDelay, func() {
+		received := &wire.Parcel{}
+		if err := received.UnmarshalVT(data); err != nil {
+			l.fleet.t.Error(err)
+		}
+		for i, b := range l.fleet.balancers {
+			if peerAddress(i) == to && !l.fleet.isIsolated(l.from) && !l.fleet.isIsolated(to) {
+				b.handleParcel(l.from, received, nil)
+			}
+		}
+	})
+	return len(data), err
+}
+
+// runWatchFleet starts balancers in three failure domains, those of the first ranks first,
+// runs do after a while, and stops them.
+func runWatchFleet(t *testing.T, count int, do func(f *watchFleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &watchFleet{t: t, store: &watchedStore{version: 1, changed: make(chan struct{})}}
+		ctx, cancel := context.WithCancel(t.Context())
+		var seeds []netip.AddrPort
+		for i := range count {
+			seeds = append(seeds, peerAddress(i))
+		}
+		system := clock.System()
+		for i := range count {
+			p, client := testPeer(i), storeClient{store: f.store, balancer: i}
+			b := newBalancer(Settings{Name: p.Name, Domain: p.Domain, CPUShare: 100, Parcels: p.Address, Seeds: seeds}, Deps{
+				Codec: fakeCodec{}, Source: client, Evacuations: evacuationClient{storeClient{store: f.store, balancer: i, evacuations: true}},
+				Clock: system, Log: zerolog.Nop(), Scope: tally.NoopScope,
+			}, 1)
+			b.parcelSender, b.callerWriter = watchLink{f, p.Address}, discardSender{t}
+			b.fetchTable = f.fetchTable
+			f.balancers = append(f.balancers, b)
+		}
+		var loops sync.WaitGroup
+		for _, b := range f.balancers {
+			loops.Go(func() { b.runTicker(ctx) })
+			loops.Go(func() { b.syncConfig(ctx) })
+			loops.Go(func() { b.syncEvacuations(ctx) })
+		}
+		time.Sleep(10 * time.Second)
+		do(f)
+		cancel()
+		loops.Wait()
+	})
+}
+
+func (f *watchFleet) isIsolated(at netip.AddrPort) bool {
+	_, ok := f.isolated.Load(at)
+	return ok
+}
+
+func (f *watchFleet) fetchTable(ctx context.Context, from netip.AddrPort, above uint64, _ time.Duration) (*routing.Table, error) {
+	for i, b := range f.balancers {
+		if peerAddress(i) != from {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(2 * testDelay):
+		}
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if t := b.steerer.Table(); t != nil && t.Version > above {
+			return t, nil
+		}
+	}
+	return nil, errNoLaterVersion
+}
+
+// checkChange changes the configuration and the evacuations. All balancers that the store
+// serves must know the configuration within configBound, and the evacuations soon after.
+func (f *watchFleet) checkChange(when string) {
+	f.t.Helper()
+	f.store.change()
+	version, _, _ := f.store.state(storeClient{})
+	time.Sleep(configBound)
+	for i, b := range f.balancers {
+		if _, _, t := f.store.state(storeClient{balancer: i}); t != served && t != slow {
+			continue
+		}
+		b.mu.Lock()
+		if got := b.tableVersion(); got < version {
+			f.t.Errorf("%s: balancer %d has version %d %v after version %d", when, i, got, configBound, version)
+		}
+		b.mu.Unlock()
+	}
+	time.Sleep(time.Second)
+	for i, b := range f.balancers {
+		if f.isIsolated(peerAddress(i)) {
+			continue
+		}
+		b.mu.Lock()
+		if got := b.steerer.Evacuations().Revision; got < version {
+			f.t.Errorf("%s: balancer %d has evacuations %d, want %d", when, i, got, version)
+		}
+		b.mu.Unlock()
+	}
+}
+
+// except treats all balancers in one way but serves the given ones.
+func (f *watchFleet) except(t treatment, serve ...int) map[int]treatment {
+	all := map[int]treatment{}
+	for i := range f.balancers {
+		all[i] = t
+	}
+	for _, i := range serve {
+		all[i] = served
+	}
+	return all
+}
