A watcher that is cut off is replaced within the time for a new version

Cause: that a balancer watches was believed for peerTimeout (2.5 s) after its last news, though the answer of the store on which it rests may be 1.7 s old at most when it is told (watchLease). The next ones wait up to 0.8 s more: 3.3 s.

Change: the word is believed for as long as the lease, 1.7 s. News between balancers of a failure domain come every 0.5 s, so three in a row must be lost before a balancer watches needlessly, which costs a call. That a balancer is live still takes 2.5 s of silence.

TestNextBalancerWatchesAfterCrash asserted the old time on both sides; it asserts the new one as strictly.

Ruled out: that one after the other is cut off as it takes over. A balancer announces its watch after an answered read, so whoever is believed has read any version acknowledged before.

--- a/internal/process/streambalancer/peers_test.go
+++ b/internal/process/streambalancer/peers_test.go
@@ -106,10 +106,10 @@
 	watching.Watching = true
 	ps := newPeersWithNews(3, 0)
 	ps.Update(testNow, watching)
-	if ps.Watches(testNow + peerTimeout) {
+	if ps.Watches(testNow + watcherTimeout) {
 		t.Error("watches although the first balancer may be live")
 	}
-	if !ps.Watches(testNow + peerTimeout + 1) {
+	if !ps.Watches(testNow + watcherTimeout + 1) {
 		t.Error("does not watch although the first balancer is silent")
 	}
 }
--- a/internal/process/streambalancer/roles.go
+++ b/internal/process/streambalancer/roles.go
@@ -13,6 +13,9 @@
 	// maxTakeoverDelay is the delay that those of low rank approach. The platform may
 	// serve any balancer, and that one must have a new version in time.
 	maxTakeoverDelay = 4 * watchGracePeriod
+	// watcherTimeout is the silence after which a balancer no longer counts as watching: the
+	// answer on which its last announcement rests is older.
+	watcherTimeout = watchLease
 )
 
 // takeoverDelay returns how long a balancer leaves the watch to a number of balancers of
@@ -41,7 +44,7 @@
 			continue
 		}
 		if p.isWatcher() {
-			silentAt := p.HeardAt + peerTimeout
+			silentAt := p.HeardAt + watcherTimeout
 			ps.higherRankWatchedAt = max(ps.higherRankWatchedAt, min(now, silentAt))
 			delay = max(delay, silentAt+1-now)
 			continue
