Who watches the evacuations rests on their own answers

Callers saw (a simulated fleet): flows opened in an evacuated failure domain for as long as the store serves the watch of the configuration and turns the same balancers away about evacuations.

Cause: the watchers of the configuration in the first two failure domains also watch the evacuations; that their calls for these fail decided nothing, and nobody took over.

Change: a watcher of the configuration announces which further duties it performs (from an answered read on) and which fail for it. While one fails, the others of its failure domain try by rank, within 0.8 s, and announce it too. A failure domain counts as reading only by that word. Two fields of News; a balancer without them counts as not reading, so that at worst one more does.

TestTwoFailureDomainsRead took the watch of the configuration for that of the evacuations; now its balancers announce what they do, and its expectations are the same.

Ruled out: giving up the watch of the configuration as well (its answers are good); a duty by rank alone (a balancer that is no relay hears of other failure domains too rarely).

Calls: an answered read starts the duty, so a takeover costs one more. Retries of those that are turned away come every second or two (TestNoCrowdAtStoreForEvacuationWatch).

--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -157,6 +157,9 @@
 	// retryWatchAt is the time before which the platform is not tried again after a
 	// failure; zero if it has answered since, or another balancer's watch has ended.
 	retryWatchAt clock.Millis
+	// duties are those that this balancer performs, and failing those that it is to perform
+	// and for which the platform does not answer it.
+	duties, failing Duties
 	// cancelEvacuationWait cancels the pending wait for evacuations; nil if there is none.
 	cancelEvacuationWait context.CancelFunc
 	// evacuationsCheckedAt is when the known evacuations were last confirmed to be current.
@@ -179,6 +182,8 @@
 	refusedQuestions tally.Counter
 	// configWake wakes the loop that syncs the configuration.
 	configWake chan struct{}
+	// evacuationWake wakes the loop that syncs the evacuations.
+	evacuationWake chan struct{}
 	// fetchTable gets a version later than the given one from a peer.
 	fetchTable func(ctx context.Context, from netip.AddrPort, above uint64, timeout time.Duration) (*routing.Table, error)
 	cancel     context.CancelFunc
@@ -235,7 +240,7 @@
 		malformed: decisions.NewMalformedRecorder(deps.Log, deps.Scope), unsent: deps.Scope.Counter("unsent"),
 		traffic:   parcels.NewTraffic(deps.Log, deps.Scope),
 		forwarded: deps.Scope.Counter("packets"), refusedQuestions: deps.Scope.Counter("handon_refused"),
-		configWake: make(chan struct{}, 1), fetchTable: fetchTable, rotation: rotation.New(deps.Clock.Now(), settings.Name),
+		configWake: make(chan struct{}, 1), evacuationWake: make(chan struct{}, 1), fetchTable: fetchTable, rotation: rotation.New(deps.Clock.Now(), settings.Name),
 	}
 	b.keeper = checkpoint.NewKeeper(settings.Checkpoint)
 	b.peers = NewPeers(deps.Clock.Now(), Peer{
--- /dev/null
+++ b/internal/process/streambalancer/duties.go
@@ -0,0 +1,154 @@
+package streambalancer
+
+import (
+	"math/bits"
+
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+)
+
+// The balancer that watches the platform for its failure domain has further duties there.
+// Each makes calls of its own, which the platform may leave unanswered while it answers the
+// watch. The watcher then announces that the duty fails, and the next balancer that the
+// platform answers performs it, until the watcher no longer announces that.
+
+// Duties is a set of duties. The values are those of the wire format.
+type Duties uint32
+
+const (
+	// EvacuationDuty is to watch the evacuations.
+	EvacuationDuty Duties = 1 << iota
+	// KeeperDuty is to store the checkpoints of the failure domain's targets.
+	KeeperDuty
+)
+
+const dutyCount = 2
+
+var dutyNames = map[Duties]string{EvacuationDuty: "evacuations", KeeperDuty: "checkpoints"}
+
+// Has reports whether the set contains a duty.
+func (d Duties) Has(duty Duties) bool {
+	return d&duty != 0
+}
+
+// With returns the set with or without a duty.
+func (d Duties) With(duty Duties, on bool) Duties {
+	if on {
+		return d | duty
+	}
+	return d &^ duty
+}
+
+// index returns the position of a single duty.
+func (d Duties) index() int {
+	return bits.TrailingZeros32(uint32(d))
+}
+
+// updateDuties records what the balancer has announced about its duties.
+func (p *Peer) updateDuties(now clock.Millis, duties, failing Duties) {
+	for duty := range dutyNames {
+		if failing.Has(duty) && !p.Failing.Has(duty) {
+			p.failingSince[duty.index()] = now
+		}
+	}
+	p.Duties, p.Failing = duties, failing
+}
+
+// DutyDelay returns how long after now this balancer, which does not watch the platform, is
+// to try a duty, unless news come earlier. needed is false if the watcher of its failure
+// domain does not announce that the duty fails.
+func (ps *Peers) DutyDelay(now clock.Millis, duty Duties) (delay clock.Millis, needed bool) {
+	higher, failingSince := clock.Millis(0), clock.Millis(0)
+	for _, p := range ps.known {
+		switch {
+		case p.Domain != ps.self.Domain || !p.Live(now):
+		case p.believedWatcher(now):
+			needed = needed || p.Failing.Has(duty)
+			failingSince = max(failingSince, p.failingSince[duty.index()])
+		case compareRank(p, &ps.self) > 0:
+		case p.Duties.Has(duty):
+			delay = max(delay, p.HeardAt+watcherTimeout+1-now)
+		default:
+			higher++
+		}
+	}
+	return max(delay, failingSince+takeoverDelay(higher)-now, 0), needed
+}
+
+// believedWatcher reports whether the balancer's announcement that it watches the platform
+// is recent enough.
+func (p *Peer) believedWatcher(now clock.Millis) bool {
+	return p.isWatcher() && now.Sub(p.HeardAt) <= watcherTimeout
+}
+
+// dutyDelay returns how long after now this balancer is to perform or try a duty; needed is
+// false if that is not known. The caller holds the lock.
+func (b *Balancer) dutyDelay(now clock.Millis, duty Duties) (delay clock.Millis, needed bool) {
+	if b.leaving {
+		return 0, false
+	}
+	if b.watching {
+		return 0, duty != EvacuationDuty || b.peers.readsEvacuations(now)
+	}
+	return b.peers.DutyDelay(now, duty)
+}
+
+// performsDuty reports whether it is this balancer's turn to perform a duty. The caller
+// holds the lock.
+func (b *Balancer) performsDuty(now clock.Millis, duty Duties) bool {
+	delay, needed := b.dutyDelay(now, duty)
+	return needed && delay == 0
+}
+
+// recordDuty records whether the platform answers this balancer's calls for a duty. Others
+// are notified at once: one of them takes over, or leaves the duty to this one.
+func (b *Balancer) recordDuty(duty Duties, answered bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.deps.Clock.Now()
+	turn := b.performsDuty(now, duty)
+	b.setDuties(now, b.duties.With(duty, answered && turn), b.failing.With(duty, !answered && turn && b.watching))
+}
+
+// releaseDuty records that it is not this balancer's turn to perform a duty.
+func (b *Balancer) releaseDuty(duty Duties) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.setDuties(b.deps.Clock.Now(), b.duties.With(duty, false), b.failing.With(duty, false))
+}
+
+// setDuties changes this balancer's duties and notifies the others. The caller holds the
+// lock.
+func (b *Balancer) setDuties(now clock.Millis, duties, failing Duties) {
+	if duties == b.duties && failing == b.failing {
+		return
+	}
+	for duty, name := range dutyNames {
+		if duties.Has(duty) != b.duties.Has(duty) || failing.Has(duty) != b.failing.Has(duty) {
+			b.deps.Log.Info().Str("event", "duty").Str("name", name).
+				Bool("performing", duties.Has(duty)).Bool("failing", failing.Has(duty)).Send()
+		}
+	}
+	b.duties, b.failing = duties, failing
+	b.broadcastNews(now)
+}
+
+// endDuties ends all duties, because the platform no longer answers the watch or another
+// balancer watches. The caller holds the lock and notifies the others.
+func (b *Balancer) endDuties() {
+	b.duties, b.failing = 0, 0
+	if b.cancelEvacuationWait != nil {
+		b.cancelEvacuationWait()
+	}
+}
+
+// handleDuties handles a balancer's news about duties: this one may have to take over, or to
+// leave the wait for evacuations to another one. The caller holds the lock.
+func (b *Balancer) handleDuties(now clock.Millis) {
+	turn := b.performsDuty(now, EvacuationDuty)
+	switch {
+	case !turn && b.cancelEvacuationWait != nil:
+		b.cancelEvacuationWait()
+	case turn && !b.duties.Has(EvacuationDuty):
+		b.wakeEvacuations()
+	}
+}
--- a/internal/process/streambalancer/evacuations.go
+++ b/internal/process/streambalancer/evacuations.go
@@ -30,6 +30,7 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-b.evacuationWake:
 		case <-time.After(pause):
 		}
 		var err error
@@ -41,30 +42,56 @@
 			b.deps.Log.Warn().Str("event", "noevacuations").Err(err).Msg("reading the evacuations failed")
 		}
 		pause = retry/2 + rand.N(retry/2)
-		retry = min(2*retry, maxRetryDelay)
+		retry = min(2*retry, b.maxEvacuationRetry())
+	}
+}
+
+// maxEvacuationRetry returns the bound of the delay after failed calls. Without any
+// evacuations known, callers wait.
+func (b *Balancer) maxEvacuationRetry() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.steerer.Evacuations().Known() {
+		return sparseRetryDelay
+	}
+	return maxRetryDelay
+}
+
+func (b *Balancer) wakeEvacuations() {
+	select {
+	case b.evacuationWake <- struct{}{}:
+	default:
 	}
 }
 
 // updateEvacuations makes one step and returns how long to wait for the next one. While the
 // platform does not answer the watch of the configuration, no other calls are made: each
 // call is billed.
+//
+// An answered read starts the duty: a pending wait proves nothing.
 func (b *Balancer) updateEvacuations(ctx context.Context) (time.Duration, error) {
 	b.mu.Lock()
 	known := b.steerer.Evacuations()
-	watches := b.watching && b.peers.WatchesEvacuations(b.deps.Clock.Now())
+	delay, needed := b.dutyDelay(b.deps.Clock.Now(), EvacuationDuty)
+	performing := b.duties.Has(EvacuationDuty)
 	b.mu.Unlock()
+	turn := needed && delay == 0
 	switch {
-	case !known.Known():
+	case !known.Known(), turn && !performing:
 		return 0, b.readEvacuations(ctx)
-	case watches:
+	case turn:
 		return 0, b.awaitEvacuations(ctx, known)
-	default:
+	}
+	b.releaseDuty(EvacuationDuty)
+	if !needed {
 		return idlePollInterval, nil
 	}
+	return min(max(delay.Duration(), minWatchPoll), idlePollInterval), nil
 }
 
 // awaitEvacuations waits for the next snapshot. The wait ends early together with the watch
-// of the configuration: a store that has stopped answering swallows both.
+// of the configuration, as a store that has stopped answering swallows both, and when it is
+// another balancer's turn.
 func (b *Balancer) awaitEvacuations(ctx context.Context, known evacuation.Snapshot) error {
 	wait, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -74,30 +101,33 @@
 	later, err := b.deps.Evacuations.Wait(wait, known)
 	b.setEvacuationWait(nil)
 	switch {
-	case wait.Err() != nil && ctx.Err() == nil:
+	case wait.Err() != nil:
 		return nil
 	case errors.Is(err, platform.ErrGone):
 		return b.readEvacuations(ctx)
-	case err != nil:
+	}
+	b.recordDuty(EvacuationDuty, platformAnswered(err))
+	if err != nil {
 		return err
 	}
 	b.setEvacuations(later, "platform")
 	return nil
 }
 
-// setEvacuationWait sets how to cancel the pending wait. It returns false if the watch of
-// the configuration has ended.
+// setEvacuationWait sets how to cancel the pending wait. It returns false if the duty has
+// ended.
 func (b *Balancer) setEvacuationWait(cancel context.CancelFunc) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.cancelEvacuationWait = cancel
-	return b.watching
+	return b.duties.Has(EvacuationDuty)
 }
 
 func (b *Balancer) readEvacuations(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, initialReadTimeout+rand.N(initialReadTimeout))
 	defer cancel()
 	s, err := b.deps.Evacuations.Read(ctx)
+	b.recordDuty(EvacuationDuty, platformAnswered(err))
 	if err != nil {
 		return err
 	}
--- a/internal/process/streambalancer/evacuations_test.go
+++ b/internal/process/streambalancer/evacuations_test.go
@@ -104,13 +104,18 @@
 	self := func(i int) Peer {
 		return Peer{Address: peerAddress(i), Name: "b", Domain: string(rune('a' + i)), Watching: true}
 	}
+	announce := func(at clock.Millis, i int) Peer {
+		p := self(i)
+		p.Duties = p.Duties.With(EvacuationDuty, all[i].readsEvacuations(at))
+		return p
+	}
 	for i := range 5 {
 		all = append(all, NewPeers(testNow-clock.Minute, self(i), nil))
 	}
 	watchers := func(at clock.Millis) string {
 		who := ""
 		for i, ps := range all {
-			if ps.WatchesEvacuations(at) {
+			if ps.readsEvacuations(at) {
 				who += self(i).Domain
 			}
 		}
@@ -123,7 +128,7 @@
 		for i, ps := range all {
 			for j := range all {
 				if j != i && (j != 0 || at == testNow) {
-					ps.Update(at, self(j))
+					ps.Update(at, announce(at, j))
 				}
 			}
 		}
--- a/internal/process/streambalancer/news.go
+++ b/internal/process/streambalancer/news.go
@@ -32,6 +32,7 @@
 		Chose: b.peers.IsNeighbour(to),
 		Self:  peerContact(self),
 		Epoch: self.Epoch, Digest: view.Digest, Lost: view.Lost, Watching: b.watching, Leaving: b.leaving,
+		Duties: uint32(b.duties), Failing: uint32(b.failing),
 		Settled: b.settled,
 		Version: b.tableVersion(), Evacuations: b.evacuationsMessage(),
 		Resting: b.rotation.Resting(), Lateness: encodeLateness(b.rotation.Lateness.Mean()),
@@ -192,10 +193,10 @@
 	if n == nil || n.Self == nil {
 		return
 	}
-	watched := b.peers.IsWatcher(from)
+	before := b.peers.announcement(from)
 	isNew := b.peers.Update(now, Peer{
 		Address: from, Name: n.Self.Name, Domain: n.Self.Domain, CPUShare: n.Self.Share, Epoch: n.Epoch, Version: n.Version,
-		Watching: n.Watching, Leaving: n.Leaving, Settled: n.Settled, ChoseThis: n.Chose,
+		Watching: n.Watching, Duties: Duties(n.Duties), Failing: Duties(n.Failing), Leaving: n.Leaving, Settled: n.Settled, ChoseThis: n.Chose,
 		View: View{Digest: n.Digest, Lost: n.Lost}, Resting: n.Resting, Lateness: decodeLateness(n.Lateness),
 	})
 	b.handleEvacuations(now, n.Evacuations)
@@ -219,7 +220,10 @@
 	if isNew && n.Self.Domain == b.settings.Domain {
 		b.sendOwners(now, from)
 	}
-	b.handleWatch(now, from, watched)
+	if after := b.peers.announcement(from); after != before {
+		b.handleWatch(now, before.watching, after.watching)
+		b.handleDuties(now)
+	}
 	if n.Version > b.tableVersion() {
 		b.wakeConfig()
 	}
--- a/internal/process/streambalancer/peers.go
+++ b/internal/process/streambalancer/peers.go
@@ -42,6 +42,9 @@
 	// Watching reports whether it watches the platform for changes.
 	Watching bool
 	Leaving  bool
+	// Duties are those that it performs, and Failing those that it is to perform and for
+	// which the platform does not answer it.
+	Duties, Failing Duties
 	// Settled reports whether it knows all targets that the others know.
 	Settled bool
 	// Resting reports whether it does not take part in the fabric's rotation, RestChangedAt
@@ -72,6 +75,8 @@
 	isRelay bool
 	// notWatchingSince is since when it has been known not to watch the platform.
 	notWatchingSince clock.Millis
+	// failingSince is when each of its failing duties began to fail.
+	failingSince [dutyCount]clock.Millis
 }
 
 // Live reports whether the peer has been heard from within peerTimeout and is not leaving.
@@ -190,6 +195,7 @@
 	case p.notWatchingSince == 0 || isNew:
 		p.notWatchingSince = now
 	}
+	p.updateDuties(now, n.Duties, n.Failing)
 	p.Name, p.Domain, p.CPUShare, p.Epoch, p.Version = n.Name, n.Domain, n.CPUShare, n.Epoch, n.Version
 	p.Watching, p.Leaving, p.Settled = n.Watching, n.Leaving, n.Settled
 	p.View, p.ChoseThis = n.View, n.ChoseThis
--- a/internal/process/streambalancer/random_parcels_test.go
+++ b/internal/process/streambalancer/random_parcels_test.go
@@ -59,7 +59,7 @@
 	}
 	n := &wire.News{
 		Self: r.contact(), Epoch: uint64(r.IntN(3)), Version: uint64(r.IntN(3)), Digest: uint64(r.IntN(5)),
-		Watching: r.IntN(2) == 0, Leaving: r.IntN(4) == 0, Ask: r.IntN(2) == 0, Chose: r.IntN(2) == 0,
+		Watching: r.IntN(2) == 0, Duties: r.Uint32(), Failing: r.Uint32(), Leaving: r.IntN(4) == 0, Ask: r.IntN(2) == 0, Chose: r.IntN(2) == 0,
 		Complete: r.IntN(2) == 0, Settled: r.IntN(2) == 0,
 	}
 	for range r.IntN(4) {
--- a/internal/process/streambalancer/roles.go
+++ b/internal/process/streambalancer/roles.go
@@ -63,10 +63,18 @@
 	return p.Watching && !p.Leaving
 }
 
-// IsWatcher reports whether a balancer has last announced that it watches the platform.
-func (ps *Peers) IsWatcher(at netip.AddrPort) bool {
+// announcement is what a balancer has last announced about its roles.
+type announcement struct {
+	watching        bool
+	duties, failing Duties
+}
+
+func (ps *Peers) announcement(at netip.AddrPort) announcement {
 	p := ps.known[at]
-	return p != nil && p.isWatcher()
+	if p == nil {
+		return announcement{}
+	}
+	return announcement{watching: p.isWatcher(), duties: p.Duties, failing: p.Failing}
 }
 
 // AwaitsPlatform reports whether it is for this balancer to notice soon that the platform
@@ -88,17 +96,17 @@
 // evacuations: one of them may be lost together with its watcher.
 const evacuationWatchDomains = 2
 
-// WatchesEvacuations reports whether this balancer also watches the evacuations: it watches
-// the platform, and fewer than evacuationWatchDomains failure domains that sort before its
-// own are known to have a watcher. A balancer that knows of no watcher watches.
-func (ps *Peers) WatchesEvacuations(now clock.Millis) bool {
+// readsEvacuations reports whether the watcher of this failure domain also watches the
+// evacuations: fewer than evacuationWatchDomains domains that sort before its own are known
+// to have a balancer that does.
+func (ps *Peers) readsEvacuations(now clock.Millis) bool {
 	before := map[string]bool{}
 	for _, p := range ps.known {
-		if p.Watching && p.Domain < ps.self.Domain && p.Live(now) {
+		if p.Duties.Has(EvacuationDuty) && p.Domain < ps.self.Domain && p.Live(now) {
 			before[p.Domain] = true
 		}
 	}
-	return len(before) < evacuationWatchDomains && ps.Watches(now)
+	return len(before) < evacuationWatchDomains
 }
 
 // FirstByName reports whether this balancer's name sorts before those of all live peers.
--- a/internal/process/streambalancer/watch.go
+++ b/internal/process/streambalancer/watch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/netip"
 	"time"
 
 	"github.com/wagtailtray/wagtailtray/internal/version/routing"
@@ -146,16 +145,16 @@
 	}
 	b.watching = on
 	b.deps.Log.Info().Str("event", "watch").Bool("watching", on).Send()
-	if !on && b.cancelEvacuationWait != nil {
-		b.cancelEvacuationWait()
+	if !on {
+		b.endDuties()
 	}
 	b.broadcastNews(now)
 }
 
 // handleWatch handles news of a balancer that begins or ends its watch: this one takes over,
 // or leaves the watch to one of higher rank. The caller holds the lock.
-func (b *Balancer) handleWatch(now clock.Millis, from netip.AddrPort, watched bool) {
-	switch watches := b.peers.IsWatcher(from); {
+func (b *Balancer) handleWatch(now clock.Millis, watched, watches bool) {
+	switch {
 	case watched && !watches && !b.watching:
 		b.retryWatchAt = 0
 		b.wakeConfig()
--- a/internal/process/streambalancer/watch_roles_test.go
+++ b/internal/process/streambalancer/watch_roles_test.go
@@ -8,6 +8,61 @@
 	"time"
 )
 
+// evacuationBound is the time within which balancers must know an evacuation.
+const evacuationBound = 5 * time.Second
+
+// The store goes on serving the watch of the configuration, and turns away those balancers
+// that also watch the evacuations; nobody reads these.
+func TestServedBalancerTakesOverEvacuationWatch(t *testing.T) {
+	for name, how := range map[string]treatment{"silent": silent, "refused": refused} {
+		for _, serve := range [][]int{{2}, {3, 4, 5}, {5}, {4}} {
+			t.Run(fmt.Sprint(name, serve), func(t *testing.T) {
+				runWatchFleet(t, 6, func(f *watchFleet) {
+					for i := range 6 {
+						time.Sleep(time.Duration(i) * 370 * time.Millisecond)
+						f.store.treatEvacuations(f.except(how, serve...))
+						time.Sleep(10 * time.Millisecond)
+						f.checkEvacuation("turned away")
+						time.Sleep(5 * time.Second)
+						f.checkEvacuation("for a while")
+						f.store.treatEvacuations(nil)
+						time.Sleep(5 * time.Second)
+					}
+				})
+			})
+		}
+	}
+}
+
+// checkEvacuation changes the evacuations. All balancers must know them within
+// evacuationBound.
+func (f *watchFleet) checkEvacuation(when string) {
+	f.t.Helper()
+	f.store.change()
+	version, _, _ := f.store.state(storeClient{})
+	time.Sleep(evacuationBound)
+	for i, b := range f.balancers {
+		b.mu.Lock()
+		if got := b.steerer.Evacuations().Revision; got < version {
+			f.t.Errorf("%s: balancer %d has evacuations %d %v after %d", when, i, got, evacuationBound, version)
+		}
+		b.mu.Unlock()
+	}
+}
+
+// The store leaves all calls about evacuations unanswered; all balancers crowd at it.
+func TestNoCrowdAtStoreForEvacuationWatch(t *testing.T) {
+	const count, period = 45, 20 * time.Second
+	runWatchFleet(t, count, func(f *watchFleet) {
+		f.store.treatEvacuations(f.except(silent))
+		before := f.store.callCount()
+		time.Sleep(period)
+		if calls, limit := f.store.callCount()-before, count*int(period/(1500*time.Millisecond)); calls > limit {
+			t.Errorf("%d calls in %v, want at most %d", calls, period, limit)
+		}
+	})
+}
+
 // All balancers that watch the store are cut off from everything, and the store turns away
 // the next ones; the last balancers, which it serves, read a version too late.
 func TestWatchersCutOffAreReplaced(t *testing.T) {
