In a large failure domain all know who watches the store

Cause: a balancer sends news to some sixteen neighbours and to the relays of its failure domain. The relays are its first ranks, and so is a watcher, in general. One of lower rank is unknown to those who are no neighbours of it: they take its silence for its absence and watch as well.

Evidence: TestOneWatcherInLargeDomains, 150 balancers in three failure domains, before this change: 12 watch instead of 3, for as long as the silence lasts. After it 3 of 3.

Change: a change of roles is announced to all balancers of the failure domain at once, and all of them take a watcher for a neighbour, as they do with relays. Where relays watch nothing changes.

Ruled out: that others pass on who watches, with the age of the word: fewer datagrams, but a second way for each belief to spread.

--- a/internal/process/streambalancer/duties.go
+++ b/internal/process/streambalancer/duties.go
@@ -129,7 +129,7 @@
 		}
 	}
 	b.duties, b.failing = duties, failing
-	b.broadcastNews(now)
+	b.broadcastRoles(now)
 }
 
 // endDuties ends all duties, because the platform no longer answers the watch or another
--- a/internal/process/streambalancer/neighbours.go
+++ b/internal/process/streambalancer/neighbours.go
@@ -32,8 +32,9 @@
 )
 
 // Neighbours returns the balancers that are sent news regularly: the responsive ones with
-// the highest rendezvous hash, and the relays that this balancer communicates with. So each
-// of hundreds of balancers has few neighbours, and all together form one connected mesh.
+// the highest rendezvous hash, the relays that this balancer communicates with, and those
+// that watch the platform for its failure domain, as it relies on their news. So each of
+// hundreds of balancers has few neighbours, and all together form one connected mesh.
 //
 // The result must not be changed.
 func (ps *Peers) Neighbours(now clock.Millis) []*Peer {
@@ -51,7 +52,7 @@
 		}
 	}
 	chosen := append(topByScore(local, maxLocalNeighbours), topByScore(remote, maxRemoteNeighbours)...)
-	for _, p := range ps.updateRelays(now) {
+	for _, p := range append(ps.updateRelays(now), ps.localWatchers()...) {
 		if !p.Leaving && !p.silent(now) && !slices.Contains(chosen, p) {
 			chosen = append(chosen, p)
 		}
@@ -78,6 +79,30 @@
 	return all
 }
 
+// localWatchers returns the balancers of the local failure domain that have last announced
+// that they watch the platform or perform a duty.
+func (ps *Peers) localWatchers() []*Peer {
+	var all []*Peer
+	for _, p := range ps.Sorted() {
+		if p.Domain == ps.self.Domain && !p.Leaving && (p.Watching || p.Duties != 0) {
+			all = append(all, p)
+		}
+	}
+	return all
+}
+
+// RoleRecipients returns the balancers that are notified of a change of this balancer's
+// roles: those of ChangeRecipients and all of the local failure domain.
+func (ps *Peers) RoleRecipients(now clock.Millis) []*Peer {
+	all := ps.ChangeRecipients(now)
+	for _, p := range ps.LocalPeers(now) {
+		if !slices.Contains(all, p) {
+			all = append(all, p)
+		}
+	}
+	return all
+}
+
 // topByScore returns the peers with the highest scores.
 func topByScore(peers []*Peer, limit int) []*Peer {
 	slices.SortStableFunc(peers, func(a, b *Peer) int { return cmp.Compare(b.score, a.score) })
--- a/internal/process/streambalancer/news.go
+++ b/internal/process/streambalancer/news.go
@@ -152,8 +152,18 @@
 // as a neighbour: after a version was activated, the known targets changed, or this
 // balancer leaves.
 func (b *Balancer) broadcastNews(now clock.Millis) {
+	b.sendNews(now, b.peers.ChangeRecipients(now))
+}
+
+// broadcastRoles sends news at once also to the other balancers of the failure domain: one
+// of them takes over a role, or all of them leave it to this balancer.
+func (b *Balancer) broadcastRoles(now clock.Millis) {
+	b.sendNews(now, b.peers.RoleRecipients(now))
+}
+
+func (b *Balancer) sendNews(now clock.Millis, to []*Peer) {
 	view := b.targetView()
-	for _, p := range b.peers.ChangeRecipients(now) {
+	for _, p := range to {
 		p.newsSentAt = now
 		b.send(p.Address, &wire.Parcel{Verb: wire.Verb_VERB_NEWS, News: b.buildNews(view, p.Address)})
 	}
--- a/internal/process/streambalancer/watch.go
+++ b/internal/process/streambalancer/watch.go
@@ -148,7 +148,7 @@
 	if !on {
 		b.endDuties()
 	}
-	b.broadcastNews(now)
+	b.broadcastRoles(now)
 }
 
 // handleWatch handles news of a balancer that begins or ends its watch: this one takes over,
--- a/internal/process/streambalancer/watch_roles_test.go
+++ b/internal/process/streambalancer/watch_roles_test.go
@@ -50,6 +50,34 @@
 	}
 }
 
+// The store turns away the first ranks of large failure domains. Balancers that are no
+// neighbours of the one that takes over do not hear of it, and all of them watch.
+func TestOneWatcherInLargeDomains(t *testing.T) {
+	const count, domains = 150, 3
+	runWatchFleet(t, count, func(f *watchFleet) {
+		turnedAway := map[int]treatment{}
+		for i := range 2 * domains {
+			turnedAway[i] = silent
+		}
+		f.store.treat(turnedAway)
+		for range 3 {
+			time.Sleep(4 * time.Second)
+			watchers := 0
+			for _, b := range f.balancers {
+				b.mu.Lock()
+				if b.watching {
+					watchers++
+				}
+				b.mu.Unlock()
+			}
+			if watchers != domains {
+				t.Errorf("%d balancers watch in %d failure domains", watchers, domains)
+			}
+		}
+		f.checkChange("turned away")
+	})
+}
+
 // The store leaves all calls about evacuations unanswered; all balancers crowd at it.
 func TestNoCrowdAtStoreForEvacuationWatch(t *testing.T) {
 	const count, period = 45, 20 * time.Second
