Retries for evacuations are sparse once they are known

The cause is the product's: the first retries of 45 balancers came after 0.1 to 0.8 s each, though others try as well. Without any evacuations known nothing changes, as callers wait.

--- a/internal/process/streambalancer/evacuations.go
+++ b/internal/process/streambalancer/evacuations.go
@@ -41,20 +41,20 @@
 		if ctx.Err() == nil {
 			b.deps.Log.Warn().Str("event", "noevacuations").Err(err).Msg("reading the evacuations failed")
 		}
-		pause = retry/2 + rand.N(retry/2)
-		retry = min(2*retry, b.maxEvacuationRetry())
+		pause = b.delayEvacuationRetry(retry)
+		retry = min(2*retry, maxRetryDelay)
 	}
 }
 
-// maxEvacuationRetry returns the bound of the delay after failed calls. Without any
-// evacuations known, callers wait.
-func (b *Balancer) maxEvacuationRetry() time.Duration {
+// delayEvacuationRetry returns how long to wait after a failed call. A balancer that knows
+// the evacuations retries sparsely, as others try as well; without them, callers wait.
+func (b *Balancer) delayEvacuationRetry(delay time.Duration) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.steerer.Evacuations().Known() {
-		return sparseRetryDelay
+		delay = sparseRetryDelay
 	}
-	return maxRetryDelay
+	return delay/2 + rand.N(delay/2)
 }
 
 func (b *Balancer) wakeEvacuations() {
