Another balancer stores the checkpoints when the watcher's calls for them fail

Callers saw (a simulated fleet): after a loss of power, an old checkpoint, since the balancer that watches the configuration stores the checkpoints and its loads or writes had gone unanswered.

Cause: it repeated them for as long as its watch was answered; no other balancer took over.

Change: after three unanswered loads or writes the watcher announces that the duty fails, and others of its failure domain try by rank, as for the evacuations. While one of any rank performs a duty those that don't leave it to that one; of two that do, the one of lower rank ends. Keeper.Reset forgets failed writes: the next turn began with a pause of up to 30 s.

Ruled out: one failure as the sign (a lost answer would move the keeper, and each move loads all shards); giving up the watch.

--- a/internal/connection/checkpoint/keeper.go
+++ b/internal/connection/checkpoint/keeper.go
@@ -94,11 +94,12 @@
 	return k
 }
 
-// Reset removes all entries: another balancer is the keeper now.
+// Reset removes all entries and forgets failures: another balancer is the keeper now.
 func (k *Keeper) Reset() {
 	k.entries, k.assemblies = map[netip.AddrPort]*keptEntry{}, map[netip.AddrPort]*assembly{}
 	k.changed, k.writing = map[int]bool{}, map[int]map[netip.AddrPort]uint32{}
 	k.shardCount = 1
+	k.failedWrites, k.nextWrite = 0, 0
 }
 
 // SetDomainCount sets the number of failure domains; each has a keeper.
--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -170,9 +170,8 @@
 	tickDue      clock.Millis
 	tickInterval time.Duration
 	// keeper collects the checkpoints of the failure domain.
-	keeper *checkpoint.Keeper
-	// isKeeper reports whether this balancer writes them; only runKeeper uses it.
-	isKeeper bool
+	keeper      *checkpoint.Keeper
+	keeperState keeperState
 
 	malformed *decisions.MalformedRecorder
 	unsent    tally.Counter
--- a/internal/process/streambalancer/checkpoints.go
+++ b/internal/process/streambalancer/checkpoints.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/wagtailtray/wagtailtray/internal/connection/checkpoint"
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
 	"github.com/wagtailtray/wagtailtray/pkg/platform"
 	"github.com/wagtailtray/wagtailtray/pkg/wire"
 )
@@ -17,7 +18,12 @@
 	// checkpointInterval is how often to check whether checkpoints must be written, and
 	// reloadDelay the mean delay after a failed load.
 	checkpointInterval = 250 * time.Millisecond
-	reloadDelay        = 2 * time.Second
+	reloadDelay        = 2 * clock.Second
+	// maxKeeperFailures is the number of successive loads or writes without an answer after
+	// which another balancer takes over. keeperPause is the mean time for which a balancer
+	// whose writes have failed does not try again: that loads are answered proves nothing.
+	maxKeeperFailures = 3
+	keeperPause       = clock.Minute
 )
 
 // CheckpointStore stores the checkpoints of a failure domain, which are split into shards.
@@ -33,42 +39,92 @@
 	List(ctx context.Context, domain string) ([]checkpoint.Entry, error)
 }
 
-// runKeeper writes the checkpoints of the local failure domain while this balancer is the
-// one that watches the platform for it.
+// keeperState is the state of runKeeper, which alone uses it.
+type keeperState struct {
+	// active reports whether this balancer writes the checkpoints of its failure domain.
+	active bool
+	// failures counts the successive failed loads and writes, and retryAt is the time before
+	// which nothing is loaded.
+	failures int
+	retryAt  clock.Millis
+}
+
+// runKeeper writes the checkpoints of the local failure domain while it is this balancer's
+// turn: it watches the platform, or the platform does not answer the watcher's calls for
+// checkpoints.
 func (b *Balancer) runKeeper(ctx context.Context) {
-	pause := checkpointInterval
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(pause):
+		case <-time.After(checkpointInterval):
 		}
-		pause = checkpointInterval
-		switch wanted := b.shouldBeKeeper(); {
-		case wanted && !b.isKeeper:
-			b.setKeeper(b.loadShards(ctx))
-			if !b.isKeeper {
-				pause = reloadDelay/2 + rand.N(reloadDelay)
-			}
-		case !wanted && b.isKeeper:
-			b.setKeeper(false)
-		case wanted:
-			b.writeDueShards(ctx)
+		b.keepCheckpoints(ctx)
+	}
+}
+
+// keepCheckpoints makes one step of runKeeper.
+func (b *Balancer) keepCheckpoints(ctx context.Context) {
+	b.mu.Lock()
+	now := b.deps.Clock.Now()
+	turn := b.performsDuty(now, KeeperDuty)
+	b.mu.Unlock()
+	k := &b.keeperState
+	switch {
+	case !turn:
+		k.failures, k.retryAt = 0, 0
+		b.setKeeper(false)
+		b.releaseDuty(KeeperDuty)
+	case k.active:
+		b.writeDueShards(ctx)
+		b.reportKeeping()
+	case now >= k.retryAt && b.loadShards(ctx):
+		k.failures = 0
+		b.setKeeper(true)
+		b.reportKeeping()
+	default:
+		b.reportKeeping()
+	}
+}
+
+// reportKeeping announces whether this balancer stores checkpoints. After a single failure
+// that stays as it was.
+func (b *Balancer) reportKeeping() {
+	k := &b.keeperState
+	if k.failures < maxKeeperFailures {
+		if k.active {
+			b.recordDuty(KeeperDuty, true)
 		}
+		return
 	}
+	if k.active {
+		k.delayLoad(b.deps.Clock.Now(), keeperPause)
+	}
+	b.setKeeper(false)
+	b.recordDuty(KeeperDuty, false)
+}
+
+// delayLoad delays the next load by about the given time.
+func (k *keeperState) delayLoad(now, pause clock.Millis) {
+	k.retryAt = now + pause/2 + clock.Millis(rand.Int64N(int64(pause)))
 }
 
-func (b *Balancer) shouldBeKeeper() bool {
+// reloadPause returns the mean delay after a failed load. A balancer that does not watch the
+// platform need not be the first one whose loads are answered again.
+func (b *Balancer) reloadPause() clock.Millis {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.watching && !b.leaving
+	if !b.watching && b.keeperState.failures+1 >= maxKeeperFailures {
+		return keeperPause
+	}
+	return reloadDelay
 }
 
 func (b *Balancer) setKeeper(on bool) {
-	if b.isKeeper == on {
+	if b.keeperState.active == on {
 		return
 	}
-	b.isKeeper = on
+	b.keeperState.active = on
 	b.mu.Lock()
 	b.steerer.SetKeeper(on)
 	if !on {
@@ -110,8 +166,14 @@
 	case errors.Is(err, checkpoint.ErrUnreadable):
 		b.reportCheckpointError(err, "stored checkpoint shard is unreadable and will be replaced")
 		return true
+	case errors.Is(err, checkpoint.ErrFormat):
+		b.reportCheckpointError(err, "stored checkpoint shard has another format and is left alone")
+		b.keeperState.delayLoad(b.deps.Clock.Now(), reloadDelay)
+		return false
 	default:
 		b.reportCheckpointError(err, "loading a checkpoint shard failed")
+		b.keeperState.delayLoad(b.deps.Clock.Now(), b.reloadPause())
+		b.keeperState.failures++
 		return false
 	}
 }
@@ -144,8 +206,13 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := b.deps.Checkpoints.Write(ctx, s)
-	if errors.Is(err, platform.ErrConflict) {
+	switch {
+	case err == nil:
+		b.keeperState.failures = 0
+	case errors.Is(err, platform.ErrConflict):
 		b.loadShard(ctx, s.Index)
+	default:
+		b.keeperState.failures++
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/process/streambalancer/duties.go
+++ b/internal/process/streambalancer/duties.go
@@ -43,35 +43,48 @@
 	return bits.TrailingZeros32(uint32(d))
 }
 
-// updateDuties records what the balancer has announced about its duties.
-func (p *Peer) updateDuties(now clock.Millis, duties, failing Duties) {
+// updateDuties records what a balancer has announced about its duties.
+func (ps *Peers) updateDuties(now clock.Millis, p *Peer, duties, failing Duties) {
 	for duty := range dutyNames {
 		if failing.Has(duty) && !p.Failing.Has(duty) {
 			p.failingSince[duty.index()] = now
 		}
+		if p.Duties.Has(duty) && p.Domain == ps.self.Domain {
+			ps.dutyHeldAt[duty.index()] = now
+		}
 	}
 	p.Duties, p.Failing = duties, failing
 }
 
 // DutyDelay returns how long after now this balancer, which does not watch the platform, is
-// to try a duty, unless news come earlier. needed is false if the watcher of its failure
-// domain does not announce that the duty fails.
-func (ps *Peers) DutyDelay(now clock.Millis, duty Duties) (delay clock.Millis, needed bool) {
-	higher, failingSince := clock.Millis(0), clock.Millis(0)
+// to try or perform a duty, unless news come earlier. needed is false if the watcher of its
+// failure domain does not announce that the duty fails.
+//
+// A balancer that performs the duty leaves it to one of higher rank that does as well. Others
+// leave it to any that performs it.
+func (ps *Peers) DutyDelay(now clock.Millis, duty Duties, performing bool) (delay clock.Millis, needed bool) {
+	higher, since, heldAt := clock.Millis(0), clock.Millis(0), &ps.dutyHeldAt[duty.index()]
 	for _, p := range ps.known {
+		if p.Domain != ps.self.Domain || !p.Live(now) {
+			continue
+		}
+		higherRank := compareRank(p, &ps.self) < 0
 		switch {
-		case p.Domain != ps.self.Domain || !p.Live(now):
 		case p.believedWatcher(now):
 			needed = needed || p.Failing.Has(duty)
-			failingSince = max(failingSince, p.failingSince[duty.index()])
-		case compareRank(p, &ps.self) > 0:
-		case p.Duties.Has(duty):
-			delay = max(delay, p.HeardAt+watcherTimeout+1-now)
-		default:
+			since = max(since, p.failingSince[duty.index()])
+		case p.Duties.Has(duty) && (higherRank || !performing):
+			silentAt := p.HeardAt + watcherTimeout
+			*heldAt = max(*heldAt, min(now, silentAt))
+			delay = max(delay, silentAt+1-now)
+		case higherRank:
 			higher++
 		}
 	}
-	return max(delay, failingSince+takeoverDelay(higher)-now, 0), needed
+	if performing {
+		return max(delay, 0), needed
+	}
+	return max(delay, max(since, *heldAt)+takeoverDelay(higher)-now, 0), needed
 }
 
 // believedWatcher reports whether the balancer's announcement that it watches the platform
@@ -89,7 +102,7 @@
 	if b.watching {
 		return 0, duty != EvacuationDuty || b.peers.readsEvacuations(now)
 	}
-	return b.peers.DutyDelay(now, duty)
+	return b.peers.DutyDelay(now, duty, b.duties.Has(duty))
 }
 
 // performsDuty reports whether it is this balancer's turn to perform a duty. The caller
--- a/internal/process/streambalancer/peers.go
+++ b/internal/process/streambalancer/peers.go
@@ -108,6 +108,9 @@
 	// watchEndedAt is when a balancer of the local failure domain announced that it no
 	// longer watches the platform.
 	watchEndedAt clock.Millis
+	// dutyHeldAt is when a balancer of the local failure domain was last known to perform
+	// each duty.
+	dutyHeldAt [dutyCount]clock.Millis
 	// confirmed reports whether a settled balancer has sent this one all targets.
 	confirmed bool
 	// listing tracks the targets that the store lists; nil without checkpoints.
@@ -195,7 +198,7 @@
 	case p.notWatchingSince == 0 || isNew:
 		p.notWatchingSince = now
 	}
-	p.updateDuties(now, n.Duties, n.Failing)
+	ps.updateDuties(now, p, n.Duties, n.Failing)
 	p.Name, p.Domain, p.CPUShare, p.Epoch, p.Version = n.Name, n.Domain, n.CPUShare, n.Epoch, n.Version
 	p.Watching, p.Leaving, p.Settled = n.Watching, n.Leaving, n.Settled
 	p.View, p.ChoseThis = n.View, n.ChoseThis
--- a/internal/process/streambalancer/watch_fleet_test.go
+++ b/internal/process/streambalancer/watch_fleet_test.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/wagtailtray/wagtailtray/internal/connection/checkpoint"
 	"github.com/wagtailtray/wagtailtray/internal/version/evacuation"
 	"github.com/wagtailtray/wagtailtray/internal/version/routing"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
@@ -49,9 +50,10 @@
 	version    uint64
 	changed    chan struct{}
 	treatments map[int]treatment
-	// evacuationTreatments replaces treatments for the calls about evacuations, if not nil.
-	evacuationTreatments map[int]treatment
-	calls                int
+	// evacuationTreatments replaces treatments for the calls about evacuations, if not nil,
+	// loadTreatments for loads of checkpoints, and writeTreatments for their writes.
+	evacuationTreatments, loadTreatments, writeTreatments map[int]treatment
+	calls                                                 int
 }
 
 func (s *watchedStore) treat(treatments map[int]treatment) {
@@ -61,6 +63,13 @@
 	s.wake()
 }
 
+// treatCheckpoints treats the loads of checkpoints, their writes or both.
+func (s *watchedStore) treatCheckpoints(loads, writes map[int]treatment) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loadTreatments, s.writeTreatments = loads, writes
+}
+
 func (s *watchedStore) treatEvacuations(treatments map[int]treatment) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -90,8 +99,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	treatments := s.treatments
-	if c.evacuations && s.evacuationTreatments != nil {
-		treatments = s.evacuationTreatments
+	special := map[callKind]map[int]treatment{
+		evacuationCall: s.evacuationTreatments, loadCall: s.loadTreatments, writeCall: s.writeTreatments,
+	}[c.kind]
+	if special != nil {
+		treatments = special
 	}
 	return s.version, s.changed, treatments[c.balancer]
 }
@@ -151,10 +163,19 @@
 type storeClient struct {
 	store    *watchedStore
 	balancer int
-	// evacuations reports whether the calls are about evacuations.
-	evacuations bool
+	kind     callKind
 }
 
+// callKind says which calls of a client the store may treat differently.
+type callKind int
+
+const (
+	configurationCall callKind = iota
+	evacuationCall
+	loadCall
+	writeCall
+)
+
 func (c storeClient) Ping(ctx context.Context) error {
 	_, err := c.answer(ctx, true)
 	return err
@@ -189,6 +210,25 @@
 	return evacuation.New(v, []string{fmt.Sprint(v)}), nil
 }
 
+// checkpointClient loads and writes checkpoints, of which the store has none.
+type checkpointClient struct{ storeClient }
+
+func (c checkpointClient) Load(ctx context.Context, _ int) (checkpoint.Shard, error) {
+	c.kind = loadCall
+	if _, err := c.answer(ctx, false); err != nil {
+		return checkpoint.Shard{}, err
+	}
+	return checkpoint.Shard{}, platform.ErrNotFound
+}
+
+func (c checkpointClient) Write(ctx context.Context, _ *checkpoint.Shard) error {
+	c.kind = writeCall
+	_, err := c.answer(ctx, false)
+	return err
+}
+
+func (c checkpointClient) List(context.Context, string) ([]checkpoint.Entry, error) { return nil, nil }
+
 // watchFleet is a number of balancers whose loops run without a network, in the time of a
 // synctest bubble.
 type watchFleet struct {
@@ -221,6 +261,8 @@
 	return len(data), err
 }
 
+var testCheckpoints = checkpoint.KeeperSettings{MaxValueSize: 1 << 16, FlowTTL: clock.Minute, WritesPerSecond: 100}
+
 // runWatchFleet starts balancers in three failure domains, those of the first ranks first,
 // runs do after a while, and stops them.
 func runWatchFleet(t *testing.T, count int, do func(f *watchFleet)) {
@@ -234,9 +276,10 @@
 		system := clock.System()
 		for i := range count {
 			p, client := testPeer(i), storeClient{store: f.store, balancer: i}
-			b := newBalancer(Settings{Name: p.Name, Domain: p.Domain, CPUShare: 100, Parcels: p.Address, Seeds: seeds}, Deps{
-				Codec: fakeCodec{}, Source: client, Evacuations: evacuationClient{storeClient{store: f.store, balancer: i, evacuations: true}},
-				Clock: system, Log: zerolog.Nop(), Scope: tally.NoopScope,
+			b := newBalancer(Settings{Name: p.Name, Domain: p.Domain, CPUShare: 100, Parcels: p.Address, Seeds: seeds, Checkpoint: testCheckpoints}, Deps{
+				Codec: fakeCodec{}, Source: client, Evacuations: evacuationClient{storeClient{store: f.store, balancer: i, kind: evacuationCall}},
+				Checkpoints: checkpointClient{client},
+				Clock:       system, Log: zerolog.Nop(), Scope: tally.NoopScope,
 			}, 1)
 			b.parcelSender, b.callerWriter = watchLink{f, p.Address}, discardSender{t}
 			b.fetchTable = f.fetchTable
@@ -247,6 +290,7 @@
 			loops.Go(func() { b.runTicker(ctx) })
 			loops.Go(func() { b.syncConfig(ctx) })
 			loops.Go(func() { b.syncEvacuations(ctx) })
+			loops.Go(func() { b.runKeeper(ctx) })
 		}
 		time.Sleep(10 * time.Second)
 		do(f)
