Balancers meet again after a long partition, and are listed

What would be seen (a simulated fleet): after more than a minute of a partition between balancers that all reach the store, the two sides never meet again, and the directory lists no balancer at all. One balancer that was cut off alone removes all others from it.

Cause: a silent balancer is removed after a minute and never contacted again; the entries of silent balancers are removed by the one whose name sorts first among those that answer, which is also true of one that hears from nobody; and a balancer believes that it is listed since it read so at its start.

Ruled out: periodic reads of the directory (bytes at the planned size; and both sides would go on removing), a longer retention.

--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -183,6 +183,8 @@
 	configWake chan struct{}
 	// evacuationWake wakes the loop that syncs the evacuations.
 	evacuationWake chan struct{}
+	// registerAgain makes the registration check this balancer's entry.
+	registerAgain chan struct{}
 	// fetchTable gets a version later than the given one from a peer.
 	fetchTable func(ctx context.Context, from netip.AddrPort, above uint64, timeout time.Duration) (*routing.Table, error)
 	cancel     context.CancelFunc
@@ -213,7 +215,7 @@
 	b.background.Go(func() { b.serveTables(ctx) })
 	b.background.Go(func() { b.runTicker(ctx) })
 	b.background.Go(func() { b.syncConfig(ctx) })
-	b.background.Go(func() { b.register(ctx) })
+	b.background.Go(func() { b.runRegistration(ctx) })
 	if deps.Evacuations != nil {
 		b.background.Go(func() { b.syncEvacuations(ctx) })
 	}
@@ -239,7 +241,7 @@
 		malformed: decisions.NewMalformedRecorder(deps.Log, deps.Scope), unsent: deps.Scope.Counter("unsent"),
 		traffic:   parcels.NewTraffic(deps.Log, deps.Scope),
 		forwarded: deps.Scope.Counter("packets"), refusedQuestions: deps.Scope.Counter("handon_refused"),
-		configWake: make(chan struct{}, 1), evacuationWake: make(chan struct{}, 1), fetchTable: fetchTable, rotation: rotation.New(deps.Clock.Now(), settings.Name),
+		configWake: make(chan struct{}, 1), evacuationWake: make(chan struct{}, 1), registerAgain: make(chan struct{}, 1), fetchTable: fetchTable, rotation: rotation.New(deps.Clock.Now(), settings.Name),
 	}
 	b.keeper = checkpoint.NewKeeper(settings.Checkpoint)
 	b.peers = NewPeers(deps.Clock.Now(), Peer{
--- a/internal/process/streambalancer/neighbours.go
+++ b/internal/process/streambalancer/neighbours.go
@@ -129,6 +129,9 @@
 			due = append(due, p)
 		}
 	}
+	if a, ok := ps.former.next(now); ok {
+		due = append(due, &Peer{Address: a})
+	}
 	return due
 }
 
--- a/internal/process/streambalancer/news.go
+++ b/internal/process/streambalancer/news.go
@@ -118,7 +118,7 @@
 	}
 	for _, p := range b.peers.RemoveSilent(now) {
 		b.deps.Log.Info().Str("event", "peergone").Stringer("peer", p.Address).Str("name", p.Name).Send()
-		if p.Name != "" && b.peers.FirstByName(now) {
+		if p.Name != "" && b.peers.removesEntries(now) {
 			b.unregister(p)
 		}
 	}
@@ -209,6 +209,9 @@
 		Watching: n.Watching, Duties: Duties(n.Duties), Failing: Duties(n.Failing), Leaving: n.Leaving, Settled: n.Settled, ChoseThis: n.Chose,
 		View: View{Digest: n.Digest, Lost: n.Lost}, Resting: n.Resting, Lateness: decodeLateness(n.Lateness),
 	})
+	if b.peers.former.takeReturned(from, n.Epoch) {
+		b.checkRegistration()
+	}
 	b.handleEvacuations(now, n.Evacuations)
 	learned := b.learnContacts(now, from, n.Contacts)
 	if n.Complete && !learned {
--- a/internal/process/streambalancer/peers.go
+++ b/internal/process/streambalancer/peers.go
@@ -124,6 +124,7 @@
 	sorted      []*Peer
 	neighbours  []*Peer
 	refreshedAt clock.Millis
+	former      formerPeers
 	// relays holds the relays of each failure domain, selected together with the
 	// neighbours.
 	relays map[string][]*Peer
@@ -133,6 +134,7 @@
 func NewPeers(now clock.Millis, self Peer, seeds []netip.AddrPort) *Peers {
 	ps := &Peers{
 		self: self, startedAt: now, known: map[netip.AddrPort]*Peer{}, covered: map[View]bool{},
+		former: formerPeers{removed: map[netip.AddrPort]removedPeer{}},
 	}
 	ps.AddSeeds(now, seeds)
 	return ps
@@ -290,6 +292,7 @@
 			delete(ps.known, a)
 			ps.sorted, ps.refreshedAt = nil, 0
 			removed = append(removed, p)
+			ps.former.add(now, p)
 		}
 	}
 	return removed
--- a/internal/process/streambalancer/register.go
+++ b/internal/process/streambalancer/register.go
@@ -14,23 +14,49 @@
 	// registration. Without the directory a balancer knows only its seeds.
 	minRegisterDelay = 200 * time.Millisecond
 	maxRegisterDelay = 2 * time.Second
+	// maxRecheckDelay bounds the random delay before the entry is checked again: after a
+	// partition all balancers check theirs.
+	maxRecheckDelay = 10 * time.Second
 	// minFindPeersDelay and maxFindPeersDelay bound the delays, which double, after which a
 	// balancer without peers reads a current list of them. A single balancer reads three.
 	minFindPeersDelay = time.Second
 	maxFindPeersDelay = 4 * time.Second
 )
 
-// register joins the balancers listed in the directory, and writes this balancer's entry
-// unless it is listed. Most starts are restarts, and a list costs the platform less than a
-// write. The list may be some seconds old: an entry that was removed meanwhile, after a
-// minute of silence, is missed until the next start. Other balancers still name this one to
-// others.
-func (b *Balancer) register(ctx context.Context) {
-	entry := directory.Entry{
-		Name: b.settings.Name, Address: b.settings.Parcels, Domain: b.settings.Domain, CPUShare: b.settings.CPUShare,
+// runRegistration joins the balancers listed in the directory, and writes this balancer's
+// entry unless it is listed: at the start, and after balancers that were removed as silent
+// are heard again, as these may have removed this one from the directory.
+//
+// Most starts are restarts, and a list costs the platform less than a write. The list that is
+// read at the start may be some seconds old: an entry that was removed meanwhile is missed.
+// Other balancers still name this one to others.
+func (b *Balancer) runRegistration(ctx context.Context) {
+	b.register(ctx, b.deps.Directory.Entries)
+	if b.alone() && b.knowsOthers() {
+		b.findPeers(ctx)
 	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-b.registerAgain:
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(rand.N(maxRecheckDelay)):
+		}
+		b.register(ctx, b.deps.Directory.CurrentEntries)
+	}
+}
+
+// entryLister lists the entries of the directory.
+type entryLister func(ctx context.Context) ([]directory.Entry, error)
+
+// register tries to register until the platform answers.
+func (b *Balancer) register(ctx context.Context, list entryLister) {
 	pause := minRegisterDelay
-	for !b.tryRegister(ctx, entry) {
+	for !b.tryRegister(ctx, list) {
 		select {
 		case <-ctx.Done():
 			return
@@ -38,8 +64,14 @@
 		}
 		pause = min(2*pause, maxRegisterDelay)
 	}
-	if b.alone() && b.knowsOthers() {
-		b.findPeers(ctx)
+}
+
+// checkRegistration makes the registration check this balancer's entry. The caller holds the
+// lock.
+func (b *Balancer) checkRegistration() {
+	select {
+	case b.registerAgain <- struct{}{}:
+	default:
 	}
 }
 
@@ -70,8 +102,7 @@
 func (b *Balancer) alone() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := b.deps.Clock.Now()
-	return !slices.ContainsFunc(b.peers.Sorted(), func(p *Peer) bool { return p.Live(now) })
+	return !b.peers.anyLive(b.deps.Clock.Now())
 }
 
 func (b *Balancer) readCurrentEntries(ctx context.Context) {
@@ -85,10 +116,13 @@
 	b.learnEntries(entries)
 }
 
-func (b *Balancer) tryRegister(ctx context.Context, entry directory.Entry) bool {
+func (b *Balancer) tryRegister(ctx context.Context, list entryLister) bool {
+	entry := directory.Entry{
+		Name: b.settings.Name, Address: b.settings.Parcels, Domain: b.settings.Domain, CPUShare: b.settings.CPUShare,
+	}
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
-	entries, err := b.deps.Directory.Entries(ctx)
+	entries, err := list(ctx)
 	if err != nil {
 		b.deps.Log.Warn().Str("event", "nodirectory").Err(err).Msg("reading the directory failed")
 		return false
--- /dev/null
+++ b/internal/process/streambalancer/register_test.go
@@ -0,0 +1,91 @@
+//go:build !race
+
+package streambalancer
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/wagtailtray/wagtailtray/internal/process/directory"
+	"github.com/wagtailtray/wagtailtray/pkg/platform"
+)
+
+// listedBalancers is a store with the entries of a directory.
+type listedBalancers struct {
+	platform.Store
+	mu      sync.Mutex
+	entries map[string]platform.Object
+}
+
+func (l *listedBalancers) List(context.Context, platform.Kind) (platform.List, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var all platform.List
+	for _, o := range l.entries {
+		all.Items = append(all.Items, o)
+	}
+	return all, nil
+}
+
+func (l *listedBalancers) Get(_ context.Context, _ platform.Kind, name string) (platform.Object, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o, ok := l.entries[name]
+	if !ok {
+		return o, platform.ErrNotFound
+	}
+	return o, nil
+}
+
+func (l *listedBalancers) Create(_ context.Context, _ platform.Kind, name string, spec any) (platform.Object, error) {
+	data, err := json.Marshal(spec)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entries[name] = platform.Object{Metadata: platform.Metadata{Name: name}, Spec: data}
+	return l.entries[name], err
+}
+
+func (l *listedBalancers) Delete(_ context.Context, _ platform.Kind, o platform.Object) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.entries, o.Metadata.Name)
+	return nil
+}
+
+// Balancers are cut off from the others, but not from the store, for so long that each side
+// removes the entries of the other. They meet again, and processes that start later find
+// only some of them, or none.
+func TestAllAreRegisteredAfterPartition(t *testing.T) {
+	const count = 6
+	for name, isolated := range map[string][]int{"one": {0}, "half": {0, 1, 2}} {
+		t.Run(name, func(t *testing.T) {
+			runWatchFleet(t, count, func(f *watchFleet) {
+				store := &listedBalancers{entries: map[string]platform.Object{}}
+				ctx, cancel := context.WithCancel(f.t.Context())
+				var registrations sync.WaitGroup
+				for _, b := range f.balancers {
+					b.mu.Lock()
+					b.deps.Directory = directory.New(store)
+					b.mu.Unlock()
+					registrations.Go(func() { b.runRegistration(ctx) })
+				}
+				time.Sleep(time.Second)
+				for _, i := range isolated {
+					f.partitioned.Store(peerAddress(i), true)
+				}
+				time.Sleep(2 * peerRetention.Duration())
+				f.partitioned.Clear()
+				time.Sleep(formerContactInterval.Duration() + maxRecheckDelay + 5*time.Second)
+				list, err := store.List(ctx, platform.Processes)
+				if err != nil || len(list.Items) != count {
+					t.Errorf("%d of %d balancers are registered", len(list.Items), count)
+				}
+				cancel()
+				registrations.Wait()
+			})
+		})
+	}
+}
--- a/internal/process/streambalancer/roles.go
+++ b/internal/process/streambalancer/roles.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
 )
@@ -109,14 +110,21 @@
 	return len(before) < evacuationWatchDomains
 }
 
-// FirstByName reports whether this balancer's name sorts before those of all live peers.
-func (ps *Peers) FirstByName(now clock.Millis) bool {
+// removesEntries reports whether it is for this balancer to remove the entries of silent
+// balancers from the directory: its name sorts before those of all live ones, and there are
+// any. One that hears from none may be cut off itself, or have been paused.
+func (ps *Peers) removesEntries(now clock.Millis) bool {
 	for _, p := range ps.known {
 		if p.Live(now) && p.Name < ps.self.Name {
 			return false
 		}
 	}
-	return true
+	return ps.anyLive(now)
+}
+
+// anyLive reports whether any other balancer is live.
+func (ps *Peers) anyLive(now clock.Millis) bool {
+	return slices.ContainsFunc(ps.Sorted(), func(p *Peer) bool { return p.Live(now) })
 }
 
 // DomainCount returns the number of failure domains that have live balancers.
--- a/internal/process/streambalancer/watch_fleet_test.go
+++ b/internal/process/streambalancer/watch_fleet_test.go
@@ -235,8 +235,9 @@
 	t         *testing.T
 	store     *watchedStore
 	balancers []*Balancer
-	// isolated has the balancers that no parcel leaves or reaches.
-	isolated sync.Map
+	// isolated has the balancers that no parcel leaves or reaches, and partitioned those that
+	// exchange parcels with each other only.
+	isolated, partitioned sync.Map
 }
 
 // watchLink delivers a balancer's parcels.
@@ -253,7 +254,7 @@
 			l.fleet.t.Error(err)
 		}
 		for i, b := range l.fleet.balancers {
-			if peerAddress(i) == to && !l.fleet.isIsolated(l.from) && !l.fleet.isIsolated(to) {
+			if peerAddress(i) == to && l.fleet.connected(l.from, to) {
 				b.handleParcel(l.from, received, nil)
 			}
 		}
@@ -299,6 +300,12 @@
 	})
 }
 
+func (f *watchFleet) connected(a, b netip.AddrPort) bool {
+	_, apart := f.partitioned.Load(a)
+	_, other := f.partitioned.Load(b)
+	return apart == other && !f.isIsolated(a) && !f.isIsolated(b)
+}
+
 func (f *watchFleet) isIsolated(at netip.AddrPort) bool {
 	_, ok := f.isolated.Load(at)
 	return ok
