QUIC edge: relays are those that the platform answers

Callers saw (a simulated fleet): balancers serve by an old version for as long as the platform turns away the two balancers of the first ranks in each failure domain, silently or with refusals.

Cause: these two watched, answered or not; a pending watch was never questioned, and nobody replaced them while they lived.

Evidence: TestServedBalancersBecomeRelays on the code before: 10 of 10 cases fail, silence and refusals ("b09 has version 1 4s after version 2"); after it none, three runs in a row.

Change: the record of a balancer says whether its watch is answered (a field more; records without it keep their hash). member.Relay decides, purely: the first two ranks that are answered watch; while fewer are, the others try by rank within 0.8 s. Beside a watch the platform is pinged each second.

Cost: 14 pings a second more at the planned size, 53 of 2,000 reads (CAPACITY.md, from costs, not measured). Counts of relays are made only when a balancer's record changes.

Mixed versions: an old balancer watches by rank as before, and drops the field from records that it passes on, so that digests differ until the update is over.

The trial of approvals with dead relays waits until there are relays to kill: they were known from the first tick on before, answered or not.

Ruled out: short watches instead of pings (each renewal would read the root once the history is gone); a message of its own in place of the record.

--- a/internal/capacity/approvals.go
+++ b/internal/capacity/approvals.go
@@ -57,6 +57,9 @@
 	Reverted int64
 }
 
+// relayStartTime is how long to wait for the relays of a fleet that has started.
+const relayStartTime = 10 * time.Second
+
 // outageDuration is the length of a platform outage after an approval.
 const outageDuration = 2 * time.Second
 
@@ -139,10 +142,18 @@
 	return out, nil
 }
 
-// killRelays kills one relay of each failure domain. Relays are the balancers
-// that watch the platform.
+// killRelays kills one relay of each failure domain. Relays are the balancers that watch the
+// platform; they become that soon after their start.
 func (f *fleet) killRelays() {
 	seen := map[string]bool{}
+	for end := time.Now().Add(relayStartTime); len(seen) < min(domains, len(f.balancers)) && time.Now().Before(end); {
+		f.killNextRelays(seen)
+		time.Sleep(heartbeatInterval)
+	}
+}
+
+// killNextRelays kills a relay of each failure domain that is not in seen.
+func (f *fleet) killNextRelays(seen map[string]bool) {
 	for i, b := range f.balancers {
 		domain := domainOf(i)
 		if !seen[domain] && b.IsRelay() {
--- a/internal/capacity/costs.go
+++ b/internal/capacity/costs.go
@@ -47,6 +47,7 @@
 	updatesPerRestart       = 4
 	updatesPerFailure       = 3
 	relaysPerDomain         = 2
+	relayPingsPerSecond     = 1
 	maxHints                = 262144
 	secondsPerDay           = 86400
 	pushBodyBytes           = 700
@@ -173,6 +174,7 @@
 	relays := s.Domains * relaysPerDomain
 	return newRow("platform", "reads and waiting watches", "calls a second", BudgetReadsPerSecond,
 		Term{"waiting watches", relays},
+		Term{"pings beside them", relays * relayPingsPerSecond},
 		Term{"relays after a change", s.ChangesPerDay / secondsPerDay * relays * in.cost(RelayReads, 1)},
 		Term{"approvals", s.ChangesPerDay / secondsPerDay * in.cost(ApprovalReads, 1)},
 		Term{"agents and balancers that start", s.RestartsPerDay / secondsPerDay * platformCallsPerRestart},
--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -128,7 +128,10 @@
 	serviceChanges  map[string]uint64
 	nextNeighbour   int
 	lastTick        clock.Millis
-	cancelWatch     context.CancelFunc
+	// relay decides whether this balancer watches the platform. relayRevision is one more
+	// than the balancerChanges that it knows.
+	relay         member.Relay
+	relayRevision uint64
 
 	server     *control.Server
 	client     ControlClient
@@ -178,15 +181,21 @@
 		Incarnation: 1, Sequence: 1, State: member.Alive,
 	}
 	b.join(ctx)
-	b.run(ctx, b.servePushes)
+	b.startControl(ctx)
 	b.run(ctx, b.serveWaiting)
 	b.run(ctx, b.serveHeartbeats)
-	b.run(ctx, b.runTicker)
 	b.serveTunnels()
 	b.deps.Log.Info().Str("event", "started").Stringer("control", b.self.Control).Msg("balancer started")
 	return nil
 }
 
+// startControl starts the tasks that exchange members and configurations.
+func (b *Balancer) startControl(ctx context.Context) {
+	b.run(ctx, b.servePushes)
+	b.run(ctx, b.runTicker)
+	b.run(ctx, b.runRelay)
+}
+
 // run starts a background task that ends with the context.
 func (b *Balancer) run(ctx context.Context, task func(context.Context)) {
 	b.background.Go(func() { task(ctx) })
--- a/internal/process/balancer/relay.go
+++ b/internal/process/balancer/relay.go
@@ -6,7 +6,6 @@
 	"errors"
 	"net/netip"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/zeebo/errs"
 
 	"github.com/wagtailtray/wagtailtray/internal/process/member"
@@ -15,8 +14,25 @@
 	"github.com/wagtailtray/wagtailtray/pkg/platform"
 )
 
-// errRootChanged ends a watch so that the new root is loaded in full.
-var errRootChanged = errs.New("balancer: the root has changed")
+const (
+	// relayCheckInterval is how often a balancer checks whether it is its turn to watch.
+	relayCheckInterval = 100 * clock.Millis(1)
+	// pingInterval is the time between pings of the platform beside a watch. Together with
+	// the timeout of a ping and the delay until another balancer takes over it stays below
+	// the time within which a version must be in force.
+	pingInterval = clock.Second
+	// maxWatchTime bounds a watch, after which the root is loaded again.
+	maxWatchTime = 5 * clock.Minute
+	// pingObject is the name of an object that does not exist.
+	pingObject = "ping"
+)
+
+var (
+	// errRootChanged ends a watch so that the new root is loaded in full.
+	errRootChanged = errs.New("balancer: the root has changed")
+	// errNotRelay ends a watch that is left to balancers of higher rank.
+	errNotRelay = errs.New("balancer: others watch the platform")
+)
 
 // RosterEntry is a balancer's entry in the platform's store. It serves only the
 // discovery of a first peer.
@@ -25,57 +41,160 @@
 	Domain  string         `json:"domain"`
 }
 
-// updateRelay starts the watch of the platform when this balancer becomes one of
-// the first live ones of its domain, and ends it when it no longer is.
-func (b *Balancer) updateRelay(ctx context.Context) {
+// runRelay watches the platform while it is this balancer's turn.
+func (b *Balancer) runRelay(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !b.relayWanted() {
+			select {
+			case <-ctx.Done():
+			case <-after(relayCheckInterval):
+			}
+			continue
+		}
+		err := b.watchPlatform(ctx)
+		b.setWatching(false)
+		if ctx.Err() == nil {
+			b.recordWatchEnd(err)
+		}
+	}
+}
+
+// relayWanted reports whether it is this balancer's turn to watch the platform.
+func (b *Balancer) relayWanted() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	wanted := b.self.State == member.Alive && member.IsRelay(b.table.Balancers(), &b.self)
-	if wanted == (b.cancelWatch != nil) {
-		return
+	if b.relayRevision != b.balancerChanges+1 {
+		b.relayRevision = b.balancerChanges + 1
+		b.relay.SetBalancers(b.table.Balancers(), &b.self)
 	}
-	if !wanted {
-		b.cancelWatch()
-		b.cancelWatch = nil
+	return b.self.State == member.Alive && b.relay.Wanted(b.deps.Clock.Now(), b.self.Watching)
+}
+
+// recordWatchEnd records why a watch has ended; err is nil if others watch.
+func (b *Balancer) recordWatchEnd(err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if err == nil {
+		b.relay.Answered()
 		return
 	}
-	ctx, b.cancelWatch = context.WithCancel(ctx)
-	b.run(ctx, b.watchRoot)
+	b.relay.Failed(b.deps.Clock.Now(), random())
+	b.deps.Log.Warn().Str("event", "platform").Err(err).Msg("the platform does not answer the watch")
 }
 
-// IsRelay reports whether this balancer currently watches the platform.
+// IsRelay reports whether this balancer watches the platform and is answered.
 func (b *Balancer) IsRelay() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.cancelWatch != nil
+	return b.self.Watching
 }
 
-// watchRoot loads the root and waits for its next change, in a loop. While the
-// platform is unavailable, the configuration in force stays in force.
-func (b *Balancer) watchRoot(ctx context.Context) {
-	retry := backoff.NewExponentialBackOff()
-	retry.MaxInterval = (5 * clock.Second).Duration()
-	for ctx.Err() == nil {
-		err := b.watchOnce(ctx)
-		if errors.Is(err, errRootChanged) || errors.Is(err, platform.ErrGone) {
-			retry.Reset()
-			continue
-		}
-		select {
-		case <-ctx.Done():
-		case <-after(clock.FromDuration(retry.NextBackOff())):
-		}
+// setWatching announces whether the platform answers this balancer's watch.
+func (b *Balancer) setWatching(on bool) {
+	b.mu.Lock()
+	if b.self.Watching == on {
+		b.mu.Unlock()
+		return
 	}
+	b.self.Watching = on
+	b.self.Sequence++
+	b.table.Merge(b.deps.Clock.Now(), b.self)
+	self := b.self
+	b.mu.Unlock()
+	b.deps.Log.Info().Str("event", "watch").Bool("watching", on).Send()
+	b.queueUpdate(update{members: []member.Member{self}})
 }
 
-func (b *Balancer) watchOnce(ctx context.Context) error {
+// watchPlatform watches the platform until it no longer answers, which is returned as an
+// error, or until it is not this balancer's turn any more. While the platform is
+// unavailable, the configuration in force stays in force.
+//
+// A ping goes first: while the platform is unavailable many balancers try, and a ping is
+// short.
+func (b *Balancer) watchPlatform(ctx context.Context) error {
+	b.mu.Lock()
+	timeout := b.relay.PingTimeout()
+	b.mu.Unlock()
+	if err := b.ping(ctx, timeout); err != nil {
+		return err
+	}
 	version, err := b.loadConfiguration(ctx)
 	if err != nil {
 		return err
 	}
-	return b.deps.Store.Watch(ctx, platform.Configurations, version, func(platform.Event) error {
+	b.setWatching(true)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	b.run(ctx, func(ctx context.Context) { cancel(b.superviseWatch(ctx, timeout)) })
+	for {
+		err := b.watchOnce(ctx, version)
+		if ctx.Err() != nil {
+			return watchEnd(ctx)
+		}
+		if !errors.Is(err, errRootChanged) && !errors.Is(err, platform.ErrGone) {
+			return err
+		}
+		if version, err = b.loadConfiguration(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+// watchEnd returns why a watch was ended, or nil if it was this balancer's turn no more.
+func watchEnd(ctx context.Context) error {
+	if cause := context.Cause(ctx); !errors.Is(cause, errNotRelay) && !errors.Is(cause, context.Canceled) {
+		return cause
+	}
+	return nil
+}
+
+// watchOnce waits for a change of the root after a version, but no longer than
+// maxWatchTime: a connection that has gone silent would not report it.
+func (b *Balancer) watchOnce(ctx context.Context, version uint64) error {
+	ctx, cancel := context.WithTimeoutCause(ctx, maxWatchTime.Duration(), errRootChanged)
+	defer cancel()
+	err := b.deps.Store.Watch(ctx, platform.Configurations, version, func(platform.Event) error {
 		return errRootChanged
 	})
+	if errors.Is(context.Cause(ctx), errRootChanged) {
+		return errRootChanged
+	}
+	return err
+}
+
+// superviseWatch pings the platform regularly, as a pending watch proves nothing, and
+// returns why the watch must end.
+func (b *Balancer) superviseWatch(ctx context.Context, timeout clock.Millis) error {
+	pingAt := b.deps.Clock.Now() + pingInterval
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-after(relayCheckInterval):
+		}
+		if !b.relayWanted() {
+			return errNotRelay
+		}
+		if b.deps.Clock.Now() < pingAt {
+			continue
+		}
+		if err := b.ping(ctx, timeout); err != nil {
+			return err
+		}
+		pingAt = b.deps.Clock.Now() + pingInterval
+	}
+}
+
+// ping reads an object that does not exist. An error means that the platform has not
+// answered.
+func (b *Balancer) ping(ctx context.Context, timeout clock.Millis) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
+	defer cancel()
+	_, err := b.deps.Store.Get(ctx, platform.Configurations, pingObject)
+	if errors.Is(err, platform.ErrUnavailable) {
+		return err
+	}
+	return nil
 }
 
 // loadConfiguration loads the platform's configuration and applies it if it is later.
--- /dev/null
+++ b/internal/process/balancer/relay_test.go
@@ -0,0 +1,366 @@
+//go:build !race
+
+package balancer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wagtailtray/wagtailtray/internal/process/control"
+	"github.com/wagtailtray/wagtailtray/internal/process/member"
+	"github.com/wagtailtray/wagtailtray/internal/version/approval"
+	"github.com/wagtailtray/wagtailtray/internal/version/config"
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+	"github.com/wagtailtray/wagtailtray/pkg/key"
+	"github.com/wagtailtray/wagtailtray/pkg/platform"
+)
+
+const (
+	// inForceBound is the time within which a version must be in force everywhere.
+	inForceBound = 4 * time.Second
+	// testDelay is the delay of a call to a peer or to the store.
+	testDelay = 4 * time.Millisecond
+)
+
+// treatment is how the store treats the calls of a balancer.
+type treatment int
+
+const (
+	served treatment = iota
+	// silent swallows calls and the events of watches that are open.
+	silent
+	// refused answers with platform.ErrUnavailable and ends open watches.
+	refused
+	// slow answers after slowDelay.
+	slow
+)
+
+const slowDelay = 800 * time.Millisecond
+
+// relayStore is the store of a relayFleet. It has one configuration without services.
+type relayStore struct {
+	mu         sync.Mutex
+	root       config.Root
+	changed    chan struct{}
+	treatments map[string]treatment
+	processes  []platform.Object
+	calls      int
+}
+
+func (s *relayStore) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *relayStore) treat(treatments map[string]treatment) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.treatments = treatments
+	s.wake()
+}
+
+// change puts the next version into the store and returns it.
+func (s *relayStore) change() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	base := s.root
+	s.root.SetNextVersion(&base, config.Change{ID: fmt.Sprint(base.Version)})
+	s.wake()
+	return s.root.Version
+}
+
+func (s *relayStore) callCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *relayStore) state(name string) (config.Root, <-chan struct{}, treatment) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.root, s.changed, s.treatments[name]
+}
+
+// relayClient is the store as a balancer sees it.
+type relayClient struct {
+	*relayStore
+	name string
+}
+
+// answer waits until the store answers.
+func (c relayClient) answer(ctx context.Context) (config.Root, error) {
+	const timeout = 3 * time.Second
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	c.mu.Lock()
+	c.calls++
+	c.mu.Unlock()
+	_, _, t := c.state(c.name)
+	delay := time.After(testDelay)
+	switch t {
+	case silent:
+		delay = nil
+	case slow:
+		delay = time.After(slowDelay)
+	}
+	select {
+	case <-ctx.Done():
+		return config.Root{}, platform.ErrUnavailable
+	case <-delay:
+	}
+	root, _, t := c.state(c.name)
+	if t == silent || t == refused {
+		return root, platform.ErrUnavailable
+	}
+	return root, nil
+}
+
+func (c relayClient) Get(ctx context.Context, _ platform.Kind, name string) (platform.Object, error) {
+	root, err := c.answer(ctx)
+	if err != nil {
+		return platform.Object{}, err
+	}
+	if name != approval.RootName {
+		return platform.Object{}, platform.ErrNotFound
+	}
+	data, err := json.Marshal(root)
+	return platform.Object{Metadata: platform.Metadata{Name: name, ResourceVersion: root.Version}, Spec: data}, err
+}
+
+func (c relayClient) List(ctx context.Context, _ platform.Kind) (platform.List, error) {
+	_, err := c.answer(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return platform.List{Items: c.processes}, err
+}
+
+func (c relayClient) Create(ctx context.Context, _ platform.Kind, name string, spec any) (platform.Object, error) {
+	data, err := json.Marshal(spec)
+	if err != nil {
+		return platform.Object{}, err
+	}
+	o := platform.Object{Metadata: platform.Metadata{Name: name}, Spec: data}
+	_, err = c.answer(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.processes = append(c.processes, o)
+	return o, err
+}
+
+func (c relayClient) Update(_ context.Context, _ platform.Kind, o platform.Object) (platform.Object, error) {
+	return o, nil
+}
+
+func (c relayClient) Delete(context.Context, platform.Kind, platform.Object) error { return nil }
+
+func (c relayClient) Watch(ctx context.Context, _ platform.Kind, after uint64, each func(platform.Event) error) error {
+	if _, err := c.answer(ctx); err != nil {
+		return err
+	}
+	for {
+		root, changed, t := c.state(c.name)
+		switch {
+		case t == refused:
+			return platform.ErrUnavailable
+		case t == silent:
+			<-ctx.Done()
+			return platform.ErrUnavailable
+		case root.Version > after:
+			return each(platform.Event{Type: platform.Modified})
+		}
+		select {
+		case <-ctx.Done():
+			return platform.ErrUnavailable
+		case <-changed:
+		}
+	}
+}
+
+// relayFleet is a number of balancers whose control paths run without a network, in the time
+// of a synctest bubble.
+type relayFleet struct {
+	t         *testing.T
+	store     *relayStore
+	balancers []*Balancer
+}
+
+// Call calls the balancer at an address.
+func (f *relayFleet) Call(ctx context.Context, to netip.AddrPort, m control.Method, request, reply any) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(testDelay):
+	}
+	params, err := json.Marshal(request)
+	if err != nil {
+		return err
+	}
+	for _, b := range f.balancers {
+		if b.self.Control != to {
+			continue
+		}
+		answer, err := b.Handle(ctx, m, params)
+		if err != nil {
+			return err
+		}
+		data, err := json.Marshal(answer)
+		if err != nil {
+			return err
+		}
+		return json.Unmarshal(data, reply)
+	}
+	return control.ErrRefused
+}
+
+func (f *relayFleet) Drop(netip.AddrPort) {}
+
+func (f *relayFleet) Close() {}
+
+// runRelayFleet starts balancers in two failure domains, runs do after a while, and stops
+// them.
+func runRelayFleet(t *testing.T, count int, do func(f *relayFleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		ring, err := key.Parse(key.Generate())
+		if err != nil {
+			t.Fatal(err)
+		}
+		f := &relayFleet{t: t, store: &relayStore{changed: make(chan struct{})}}
+		f.store.change()
+		var peers []netip.AddrPort
+		for i := range count {
+			peers = append(peers, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000))
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		for i := range count {
+			name, domain := fmt.Sprintf("b%02d", i), fmt.Sprint("d", i%2)
+			b, err := New(Settings{Name: name, Domain: domain, Peers: peers, Tunnel: local, MTU: 1500}, Deps{
+				Ring: ring, Store: relayClient{f.store, name}, Clock: clock.System(), Log: zerolog.Nop(), Scope: tally.NoopScope, ControlClient: f,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			b.self = member.Member{
+				Key: member.Key{Kind: member.Balancer, Name: name}, Domain: domain, Control: peers[i], Incarnation: 1, Sequence: 1, State: member.Alive,
+			}
+			f.balancers = append(f.balancers, b)
+		}
+		for _, b := range f.balancers {
+			b.run(ctx, func(ctx context.Context) {
+				b.join(ctx)
+				b.startControl(ctx)
+			})
+		}
+		time.Sleep(10 * time.Second)
+		do(f)
+		cancel()
+		for _, b := range f.balancers {
+			b.Kill()
+		}
+	})
+}
+
+// relays returns the names of the balancers that watch the platform.
+func (f *relayFleet) relays() []string {
+	var all []string
+	for _, b := range f.balancers {
+		if b.IsRelay() {
+			all = append(all, b.settings.Name)
+		}
+	}
+	return all
+}
+
+// checkChange changes the configuration, which all balancers must have within inForceBound.
+func (f *relayFleet) checkChange(when string) {
+	f.t.Helper()
+	version := f.store.change()
+	time.Sleep(inForceBound)
+	for _, b := range f.balancers {
+		if got := b.Version(); got < version {
+			f.t.Errorf("%s: %s has version %d %v after version %d", when, b.settings.Name, got, inForceBound, version)
+		}
+	}
+}
+
+// The store turns away all balancers that watch it and serves the others; nobody reads the
+// configuration.
+func TestServedBalancersBecomeRelays(t *testing.T) {
+	for name, how := range map[string]treatment{"silent": silent, "refused": refused} {
+		for phase := range 5 {
+			t.Run(fmt.Sprint(name, phase), func(t *testing.T) {
+				runRelayFleet(t, 12, func(f *relayFleet) {
+					time.Sleep(time.Duration(phase) * 290 * time.Millisecond)
+					f.store.treat(f.treatRelays(how))
+					time.Sleep(10 * time.Millisecond)
+					f.checkChange("turned away")
+					time.Sleep(5 * time.Second)
+					f.checkChange("for a while")
+					f.store.treat(f.treatRelays(how))
+					f.checkChange("those that took over")
+					f.store.treat(nil)
+					time.Sleep(10 * time.Second)
+					f.checkChange("at the end")
+					if relays := f.relays(); len(relays) != 4 {
+						t.Errorf("relays at the end: %v", relays)
+					}
+				})
+			})
+		}
+	}
+}
+
+// The platform answers so slowly that pings time out; versions must not stay out of force for
+// as long as that lasts.
+func TestRelaysOfSlowPlatform(t *testing.T) {
+	runRelayFleet(t, 12, func(f *relayFleet) {
+		f.store.treat(f.treatAll(slow))
+		time.Sleep(10 * time.Second)
+		for range 5 {
+			f.checkChange("slow")
+		}
+	})
+}
+
+// The platform stops answering all balancers; all of them crowd at it.
+func TestNoCrowdAtPlatform(t *testing.T) {
+	const count, period = 40, 20 * time.Second
+	runRelayFleet(t, count, func(f *relayFleet) {
+		f.store.treat(f.treatAll(refused))
+		time.Sleep(5 * time.Second)
+		before := f.store.callCount()
+		time.Sleep(period)
+		// The first two of each failure domain try twice a second at most, the others every
+		// two seconds.
+		limit := (4*2 + (count-4)/2) * int(period/time.Second)
+		if calls := f.store.callCount() - before; calls > limit {
+			t.Errorf("%d calls in %v, want at most %d", calls, period, limit)
+		}
+	})
+}
+
+// treatAll treats all balancers in one way.
+func (f *relayFleet) treatAll(how treatment) map[string]treatment {
+	all := map[string]treatment{}
+	for _, b := range f.balancers {
+		all[b.settings.Name] = how
+	}
+	return all
+}
+
+// treatRelays treats the balancers that watch the platform in one way and serves the others.
+func (f *relayFleet) treatRelays(how treatment) map[string]treatment {
+	all := map[string]treatment{}
+	for _, name := range f.relays() {
+		all[name] = how
+	}
+	return all
+}
--- a/internal/process/balancer/tick.go
+++ b/internal/process/balancer/tick.go
@@ -45,7 +45,6 @@
 		if n%housekeepEvery == 0 {
 			b.housekeep(now, timing)
 		}
-		b.updateRelay(ctx)
 	}
 }
 
--- a/internal/process/member/member.go
+++ b/internal/process/member/member.go
@@ -100,6 +100,8 @@
 	Sequence    uint64
 	State       State
 	Suspected   bool
+	// Watching reports that the platform answers this balancer's watch.
+	Watching bool
 }
 
 // Newer reports whether record a replaces record b of the same process.
@@ -141,6 +143,7 @@
 		Kind: string(m.Kind), Name: m.Name, Service: m.Service, Domain: m.Domain,
 		Control: formatAddress(m.Control), Upstream: formatAddress(m.Upstream),
 		Incarnation: m.Incarnation, Sequence: m.Sequence, State: string(m.State), Suspected: m.Suspected,
+		Watching: m.Watching,
 	}
 	for _, t := range m.Tunnels {
 		w.Tunnels = append(w.Tunnels, t.String())
@@ -160,7 +163,7 @@
 	m := Member{
 		Key:    Key{Kind: Kind(w.GetKind()), Service: w.GetService(), Name: w.GetName()},
 		Domain: w.GetDomain(), Incarnation: w.GetIncarnation(), Sequence: w.GetSequence(),
-		State: State(w.GetState()), Suspected: w.GetSuspected(),
+		State: State(w.GetState()), Suspected: w.GetSuspected(), Watching: w.GetWatching(),
 	}
 	validKind := m.Kind == Balancer || m.Kind == Target && m.Service != ""
 	states := []State{Joining, Alive, Draining, Leaving, Left}
--- a/internal/process/member/rank.go
+++ b/internal/process/member/rank.go
@@ -14,9 +14,6 @@
 	// partition of the domain.
 	localContacts  = 2
 	remoteContacts = 1
-	// relaysPerDomain is the number of balancers of a domain that watch the
-	// platform.
-	relaysPerDomain = 2
 )
 
 // Ranked orders balancers by rendezvous hashing for a name.
@@ -89,23 +86,3 @@
 	}
 	return all
 }
-
-// IsRelay reports whether a balancer is among the highest ranked live ones of its
-// domain, which watch the platform. Processes with different views may select
-// different relays: an additional watch is harmless, and the digest exchange
-// compensates for a missing one.
-func IsRelay(balancers []Observed, self *Member) bool {
-	before := 0
-	for _, b := range Ranked(balancers, "relay") {
-		if b.Name == self.Name {
-			return true
-		}
-		if b.Domain == self.Domain && b.Live() {
-			before++
-		}
-		if before == relaysPerDomain {
-			return false
-		}
-	}
-	return true
-}
