A slow store is not taken for a silent one for good

Callers saw (a simulated fleet): versions and evacuations that don't come into force while each answer of the store takes longer than a ping may (0.6 s), however long that lasts.

Cause: since a watch begins and goes on by answered pings, an answer after 0.6 s counts as none, each time anew.

Change: a ping is given up as before, but its answer is awaited for 2.4 s; a late one gives pings, reads and waits half as much time again as it took, until a ping is answered in time. A silent store is noticed as soon as before. Source.Wait and EvacuationSource.Wait are told how late an answer may be.

Ruled out: longer timeouts after failures (the end of a silence would be noticed later).

--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -63,8 +63,9 @@
 type Source interface {
 	// Read returns the current version.
 	Read(ctx context.Context) (*routing.Table, error)
-	// Wait returns the next change after a revision.
-	Wait(ctx context.Context, revision uint64) (Change, error)
+	// Wait returns the next change after a revision. The platform is to hold the call for
+	// WaitHold; slack is how much longer its answer may take.
+	Wait(ctx context.Context, revision uint64, slack time.Duration) (Change, error)
 	// Ping makes a cheap call, to learn whether the store answers: unless it returns
 	// platform.ErrUnavailable, the store has answered.
 	Ping(ctx context.Context) error
@@ -150,10 +151,12 @@
 	relay       relayState
 	// settled reports whether this balancer knows all targets that the others know.
 	settled bool
-	// watching reports whether this balancer watches the platform and was answered within
-	// watchLease. answeredAt is the time of the last answer.
+	// watching reports whether this balancer watches the platform and was answered within the
+	// lease. answeredAt is the time of the last answer, and answerTime how long the platform
+	// takes for one; zero if it is not slow.
 	watching   bool
 	answeredAt clock.Millis
+	answerTime clock.Millis
 	// retryWatchAt is the time before which the platform is not tried again after a
 	// failure; zero if it has answered since, or another balancer's watch has ended.
 	retryWatchAt clock.Millis
--- a/internal/process/streambalancer/config.go
+++ b/internal/process/streambalancer/config.go
@@ -137,13 +137,18 @@
 // readTable reads the current version from the platform and activates it. An answer starts
 // the watch of a balancer whose turn it is.
 func (b *Balancer) readTable(ctx context.Context, watches bool) bool {
-	ctx, cancel := context.WithTimeout(ctx, initialReadTimeout+rand.N(initialReadTimeout))
+	ctx, cancel := context.WithTimeout(ctx, b.readTimeout())
 	defer cancel()
 	t, err := b.deps.Source.Read(ctx)
 	b.setWatching(watches && platformAnswered(err))
 	return b.applyTable(t, err, "platform")
 }
 
+// readTimeout returns how long a read may take.
+func (b *Balancer) readTimeout() time.Duration {
+	return initialReadTimeout + rand.N(initialReadTimeout) + b.lockedAnswerTimeout(0)
+}
+
 // applyTable activates a routing table and notifies the neighbours.
 func (b *Balancer) applyTable(t *routing.Table, err error, from string) bool {
 	if err != nil {
--- a/internal/process/streambalancer/evacuations.go
+++ b/internal/process/streambalancer/evacuations.go
@@ -18,8 +18,9 @@
 	Read(ctx context.Context) (evacuation.Snapshot, error)
 	// Wait returns the next snapshot after the given one: a changed one, or the same
 	// evacuations at a later revision if nothing has changed before the source's own
-	// timeout. platform.ErrGone means that they must be read again.
-	Wait(ctx context.Context, after evacuation.Snapshot) (evacuation.Snapshot, error)
+	// timeout; slack is how much longer the answer may take. platform.ErrGone means that they
+	// must be read again.
+	Wait(ctx context.Context, after evacuation.Snapshot, slack time.Duration) (evacuation.Snapshot, error)
 }
 
 // syncEvacuations keeps the known evacuations up to date: some of the balancers that watch
@@ -98,7 +99,8 @@
 	if !b.setEvacuationWait(cancel) {
 		return nil
 	}
-	later, err := b.deps.Evacuations.Wait(wait, known)
+	slack := b.lockedAnswerTimeout(clock.FromDuration(WaitSlack))
+	later, err := b.deps.Evacuations.Wait(wait, known, slack)
 	b.setEvacuationWait(nil)
 	switch {
 	case wait.Err() != nil:
@@ -124,7 +126,7 @@
 }
 
 func (b *Balancer) readEvacuations(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, initialReadTimeout+rand.N(initialReadTimeout))
+	ctx, cancel := context.WithTimeout(ctx, b.readTimeout())
 	defer cancel()
 	s, err := b.deps.Evacuations.Read(ctx)
 	b.recordDuty(EvacuationDuty, platformAnswered(err))
--- a/internal/process/streambalancer/watch.go
+++ b/internal/process/streambalancer/watch.go
@@ -27,13 +27,42 @@
 	// pingTimeout how long a ping may take.
 	pingInterval = 1100 * clock.Millis(1)
 	pingTimeout  = 600 * clock.Millis(1)
+	// maxAnswerTime bounds how long the platform may take for an answer.
+	maxAnswerTime = 2400 * clock.Millis(1)
 	// pingRetryDelay is the delay after a ping that was refused at once.
 	pingRetryDelay = 100 * time.Millisecond
-	// watchLease is how long a balancer counts as watching after an answer. Together with
-	// maxTakeoverDelay it stays below the time within which a version must be active.
+	// watchLease is how long a balancer counts as watching after an answer, if the platform
+	// is not slow. Together with maxTakeoverDelay it stays below the time within which a
+	// version must be active.
 	watchLease = pingInterval + pingTimeout
 )
 
+// A platform that answers late must not be taken for a silent one for good. So a ping is
+// given up after a while, but its answer is still awaited: if it comes, later calls are given
+// more time.
+
+// recordAnswer records how long the platform took for an answer.
+func (b *Balancer) recordAnswer(elapsed clock.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.answerTime = 0
+	if elapsed > pingTimeout {
+		b.answerTime = elapsed
+	}
+}
+
+// answerTimeout returns how long an answer of the platform may take, at least the given
+// time. The caller holds the lock.
+func (b *Balancer) answerTimeout(least clock.Millis) clock.Millis {
+	return max(least, b.answerTime*3/2)
+}
+
+func (b *Balancer) lockedAnswerTimeout(least clock.Millis) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.answerTimeout(least).Duration()
+}
+
 // platformAnswered reports whether the platform answered a call, even if with a version
 // that cannot be read: another balancer could not read it either.
 func platformAnswered(err error) bool {
@@ -44,17 +73,32 @@
 // platform is unavailable, many balancers try, and a ping costs little. Its answer may come
 // from a replica and is not enough.
 func (b *Balancer) startWatch(ctx context.Context) bool {
-	err := b.ping(ctx, pingTimeout)
+	err := b.ping(ctx, b.lockedAnswerTimeout(pingTimeout))
 	if !platformAnswered(err) {
 		return b.applyTable(nil, err, "platform")
 	}
 	return b.readTable(ctx, true)
 }
 
-func (b *Balancer) ping(ctx context.Context, timeout clock.Millis) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
-	defer cancel()
-	return b.deps.Source.Ping(ctx)
+// ping returns platform.ErrUnavailable if the platform has not answered within the timeout.
+func (b *Balancer) ping(ctx context.Context, timeout time.Duration) error {
+	answer := make(chan error, 1)
+	b.background.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, maxAnswerTime.Duration())
+		defer cancel()
+		sentAt := b.deps.Clock.Now()
+		err := b.deps.Source.Ping(ctx)
+		if platformAnswered(err) {
+			b.recordAnswer(b.deps.Clock.Now().Sub(sentAt))
+		}
+		answer <- err
+	})
+	select {
+	case err := <-answer:
+		return err
+	case <-time.After(timeout):
+		return platform.ErrUnavailable
+	}
 }
 
 // watchTable waits for a version after the current one. It returns early if a peer
@@ -69,7 +113,8 @@
 	defer cancel()
 	go b.cancelOnWake(ctx, cancel)
 	go b.renewWatch(ctx, cancel)
-	change, err := b.deps.Source.Wait(ctx, max(b.seenRevision, current.Revision))
+	slack := b.lockedAnswerTimeout(clock.FromDuration(WaitSlack))
+	change, err := b.deps.Source.Wait(ctx, max(b.seenRevision, current.Revision), slack)
 	if ctx.Err() != nil {
 		return 0, true
 	}
@@ -95,21 +140,21 @@
 // renewWatch pings the platform during a wait, and cancels the wait if the platform no
 // longer answers.
 func (b *Balancer) renewWatch(ctx context.Context, cancel context.CancelFunc) {
-	pause := b.untilPing().Duration()
+	pause := b.untilLeaseEnds() - b.lockedAnswerTimeout(pingTimeout)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(pause):
 		}
-		answered := platformAnswered(b.ping(ctx, b.untilPing()+pingTimeout))
+		answered := platformAnswered(b.ping(ctx, b.untilLeaseEnds()))
 		switch {
 		case ctx.Err() != nil:
 			return
 		case answered:
 			b.setWatching(true)
 			pause = pingInterval.Duration()
-		case b.untilPing()+pingTimeout > 0:
+		case b.untilLeaseEnds() > 0:
 			pause = pingRetryDelay
 		default:
 			b.setWatching(false)
@@ -119,12 +164,18 @@
 	}
 }
 
-// untilPing returns the time until the platform must be pinged, negative if that time has
-// passed.
-func (b *Balancer) untilPing() clock.Millis {
+// untilLeaseEnds returns the time until this balancer no longer counts as watching, negative
+// if that has passed.
+func (b *Balancer) untilLeaseEnds() time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return pingInterval - b.deps.Clock.Now().Sub(b.answeredAt)
+	return (b.answeredAt + b.lease() - b.deps.Clock.Now()).Duration()
+}
+
+// lease returns how long this balancer counts as watching after an answer: watchLease, or
+// longer if the platform is slow. The caller holds the lock.
+func (b *Balancer) lease() clock.Millis {
+	return pingInterval + b.answerTimeout(pingTimeout)
 }
 
 // setWatching records whether the platform has answered this balancer while it watches.
@@ -166,7 +217,7 @@
 // expireWatch ends the watch if the last answer is too old, as after a call to a peer that
 // took long. The caller holds the lock.
 func (b *Balancer) expireWatch(now clock.Millis) {
-	if b.watching && now.Sub(b.answeredAt) > watchLease {
+	if b.watching && now.Sub(b.answeredAt) > b.lease() {
 		b.updateWatching(now, false)
 	}
 }
--- a/internal/process/streambalancer/watch_roles_test.go
+++ b/internal/process/streambalancer/watch_roles_test.go
@@ -78,6 +78,26 @@
 	})
 }
 
+// The store answers so late that balancers take it for silent; they must not keep an old
+// version for as long as that lasts.
+func TestWatchOfVerySlowStore(t *testing.T) {
+	runWatchFleet(t, 6, func(f *watchFleet) {
+		f.store.treat(f.except(verySlow))
+		for i := range 4 {
+			f.store.change()
+			version, _, _ := f.store.state(storeClient{})
+			time.Sleep(10 * time.Second)
+			for j, b := range f.balancers {
+				b.mu.Lock()
+				if got, evacuations := b.tableVersion(), b.steerer.Evacuations().Revision; got < version || evacuations < version {
+					t.Errorf("change %d: balancer %d has version %d and evacuations %d, want %d", i, j, got, evacuations, version)
+				}
+				b.mu.Unlock()
+			}
+		}
+	})
+}
+
 // The store leaves all calls about evacuations unanswered; all balancers crowd at it.
 func TestNoCrowdAtStoreForEvacuationWatch(t *testing.T) {
 	const count, period = 45, 20 * time.Second
