--- a/internal/process/balancer/relay_test.go
+++ b/internal/process/balancer/relay_test.go
@@ -118,10 +118,10 @@
 	case <-delay:
 	}
 	root, _, t := c.state(c.name)
-	if t == silent || t == refused {
-		return root, platform.ErrUnavailable
+	if t == served || t == slow {
+		return root, nil
 	}
-	return root, nil
+	return root, platform.ErrUnavailable
 }
 
 func (c relayClient) Get(ctx context.Context, _ platform.Kind, name string) (platform.Object, error) {
--- a/internal/process/streambalancer/watch.go
+++ b/internal/process/streambalancer/watch.go
@@ -16,12 +16,12 @@
 // the platform is pinged beside it.
 
 const (
-	// WaitHold is how long the platform is to hold a Source's wait without a change, and
-	// WaitSlack how much longer its answer may take: a slow platform needs some 400 ms. A
-	// platform that swallows a wait while its replicas answer pings is noticed only when the
-	// wait fails. Together with maxTakeoverDelay they stay close to the time within which a
-	// version must be active; shorter waits cost more, as each one is billed.
-	WaitHold  = 2 * time.Second
+	// WaitHold is how long the platform is to hold a Source's wait without a change. A platform
+	// that swallows a wait while its replicas answer pings is noticed only when the wait
+	// fails. Together with WaitSlack and maxTakeoverDelay this stays close to the time within
+	// which a version must be active; shorter waits cost more, as each one is billed.
+	WaitHold = 2 * time.Second
+	// WaitSlack is how much longer the answer may take, unless the platform is slow.
 	WaitSlack = 600 * time.Millisecond
 	// pingInterval is the time after an answer until the platform is pinged, and
 	// pingTimeout how long a ping may take.
