QUIC edge: balancers meet again after a long partition

What would be seen (a simulated fleet): after a partition that is longer than the retention of records, its two halves stay apart for good; versions and members of one half do not reach the other.

Cause: a balancer calls its neighbours, those that are suspected, and the roster only if it knows nobody. Removed records leave nothing to call.

Change: balancers whose records were removed are called for two hours, a random one each housekeeping (twenty heartbeats). One that answers is sent a newer record of this one, since tombstones refuse the old one, and a sync follows.

--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -122,7 +122,10 @@
 	self       member.Member
 	tracked    map[member.Key]*trackedTarget
 	targetKeys map[heartbeatKey]member.Key
-	edges      map[uint32]*edge
+	// former has the control addresses of balancers whose records were removed, with the
+	// time of that.
+	former map[netip.AddrPort]clock.Millis
+	edges  map[uint32]*edge
 	// balancerChanges and serviceChanges count changes of members.
 	balancerChanges uint64
 	serviceChanges  map[string]uint64
@@ -156,7 +159,7 @@
 		hints:   target.NewHints(settings.Limits),
 		sealer:  envelope.NewSealer(deps.Ring, envelope.MaxSize(settings.MTU, settings.Tunnel)-envelope.WalkReserve),
 		replica: spread.NewReplica(), table: member.NewTable(),
-		tracked: map[member.Key]*trackedTarget{}, targetKeys: map[heartbeatKey]member.Key{}, serviceChanges: map[string]uint64{}, edges: map[uint32]*edge{},
+		tracked: map[member.Key]*trackedTarget{}, targetKeys: map[heartbeatKey]member.Key{}, serviceChanges: map[string]uint64{}, edges: map[uint32]*edge{}, former: map[netip.AddrPort]clock.Millis{},
 		client: client, updates: make(chan update, maxQueuedUpdates), heartbeats: make(chan queuedHeartbeat, maxQueuedHeartbeats),
 	}
 	b.waiting = b.newWaiting()
--- a/internal/process/balancer/relay_test.go
+++ b/internal/process/balancer/relay_test.go
@@ -191,14 +191,28 @@
 	t         *testing.T
 	store     *relayStore
 	balancers []*Balancer
+	// partitioned has the balancers that reach each other only.
+	partitioned sync.Map
+}
+
+// relayCaller makes the calls of one balancer.
+type relayCaller struct {
+	*relayFleet
+	from netip.AddrPort
 }
 
 // Call calls the balancer at an address.
-func (f *relayFleet) Call(ctx context.Context, to netip.AddrPort, m control.Method, request, reply any) error {
+func (f relayCaller) Call(ctx context.Context, to netip.AddrPort, m control.Method, request, reply any) error {
+	_, apart := f.partitioned.Load(f.from)
+	_, other := f.partitioned.Load(to)
+	delay := time.After(testDelay)
+	if apart != other {
+		delay = nil
+	}
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
-	case <-time.After(testDelay):
+	case <-delay:
 	}
 	params, err := json.Marshal(request)
 	if err != nil {
@@ -243,7 +257,8 @@
 		for i := range count {
 			name, domain := fmt.Sprintf("b%02d", i), fmt.Sprint("d", i%2)
 			b, err := New(Settings{Name: name, Domain: domain, Peers: peers, Tunnel: local, MTU: 1500}, Deps{
-				Ring: ring, Store: relayClient{f.store, name}, Clock: clock.System(), Log: zerolog.Nop(), Scope: tally.NoopScope, ControlClient: f,
+				Ring: ring, Store: relayClient{f.store, name}, Clock: clock.System(), Log: zerolog.Nop(), Scope: tally.NoopScope,
+				ControlClient: relayCaller{f, peers[i]},
 			})
 			if err != nil {
 				t.Fatal(err)
@@ -347,6 +362,33 @@
 	})
 }
 
+// Balancers are cut off from the others for so long that both sides remove the records of the
+// other one. They must know each other again soon after.
+func TestBalancersMeetAfterPartition(t *testing.T) {
+	for name, isolated := range map[string]int{"one": 1, "half": 3} {
+		for _, minutes := range []int{2, 10} {
+			t.Run(fmt.Sprint(name, minutes), func(t *testing.T) {
+				runRelayFleet(t, 6, func(f *relayFleet) {
+					for _, b := range f.balancers[:isolated] {
+						f.partitioned.Store(b.self.Control, true)
+					}
+					time.Sleep(time.Duration(minutes) * time.Minute)
+					f.partitioned.Clear()
+					time.Sleep(time.Minute)
+					for _, b := range f.balancers {
+						b.mu.Lock()
+						known := b.table.Filter(func(m *member.Member) bool { return m.Live() })
+						b.mu.Unlock()
+						if len(known) != len(f.balancers) {
+							t.Errorf("%s knows %d of %d balancers", b.settings.Name, len(known), len(f.balancers))
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
 // treatAll treats all balancers in one way.
 func (f *relayFleet) treatAll(how treatment) map[string]treatment {
 	all := map[string]treatment{}
--- a/internal/process/balancer/tick.go
+++ b/internal/process/balancer/tick.go
@@ -44,6 +44,7 @@
 		}
 		if n%housekeepEvery == 0 {
 			b.housekeep(now, timing)
+			b.run(ctx, b.contactFormer)
 		}
 	}
 }
@@ -66,6 +67,7 @@
 	for _, m := range expired {
 		b.deps.Log.Info().Str("event", "forgotten").Str("service", m.Service).Str("name", m.Name).Msg("member removed after its retention")
 	}
+	b.addFormer(now, expired)
 	b.updateSnapshot(expired)
 }
 
