--- a/internal/process/streambalancer/checkpoints.go
+++ b/internal/process/streambalancer/checkpoints.go
@@ -67,7 +67,7 @@
 func (b *Balancer) keepCheckpoints(ctx context.Context) {
 	b.mu.Lock()
 	now := b.deps.Clock.Now()
-	turn := b.performsDuty(now, KeeperDuty)
+	turn := b.isDutyTurn(now, KeeperDuty)
 	b.mu.Unlock()
 	k := &b.keeperState
 	switch {
--- a/internal/process/streambalancer/duties.go
+++ b/internal/process/streambalancer/duties.go
@@ -105,9 +105,9 @@
 	return b.peers.DutyDelay(now, duty, b.duties.Has(duty))
 }
 
-// performsDuty reports whether it is this balancer's turn to perform a duty. The caller
+// isDutyTurn reports whether it is this balancer's turn to perform a duty. The caller
 // holds the lock.
-func (b *Balancer) performsDuty(now clock.Millis, duty Duties) bool {
+func (b *Balancer) isDutyTurn(now clock.Millis, duty Duties) bool {
 	delay, needed := b.dutyDelay(now, duty)
 	return needed && delay == 0
 }
@@ -118,7 +118,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.deps.Clock.Now()
-	turn := b.performsDuty(now, duty)
+	turn := b.isDutyTurn(now, duty)
 	b.setDuties(now, b.duties.With(duty, answered && turn), b.failing.With(duty, !answered && turn && b.watching))
 }
 
@@ -135,19 +135,25 @@
 	if duties == b.duties && failing == b.failing {
 		return
 	}
+	b.logDuties(duties, failing)
+	b.duties, b.failing = duties, failing
+	b.broadcastRoles(now)
+}
+
+// logDuties logs the duties that are about to change.
+func (b *Balancer) logDuties(duties, failing Duties) {
 	for duty, name := range dutyNames {
 		if duties.Has(duty) != b.duties.Has(duty) || failing.Has(duty) != b.failing.Has(duty) {
 			b.deps.Log.Info().Str("event", "duty").Str("name", name).
 				Bool("performing", duties.Has(duty)).Bool("failing", failing.Has(duty)).Send()
 		}
 	}
-	b.duties, b.failing = duties, failing
-	b.broadcastRoles(now)
 }
 
 // endDuties ends all duties, because the platform no longer answers the watch or another
 // balancer watches. The caller holds the lock and notifies the others.
 func (b *Balancer) endDuties() {
+	b.logDuties(0, 0)
 	b.duties, b.failing = 0, 0
 	if b.cancelEvacuationWait != nil {
 		b.cancelEvacuationWait()
@@ -157,7 +163,7 @@
 // handleDuties handles a balancer's news about duties: this one may have to take over, or to
 // leave the wait for evacuations to another one. The caller holds the lock.
 func (b *Balancer) handleDuties(now clock.Millis) {
-	turn := b.performsDuty(now, EvacuationDuty)
+	turn := b.isDutyTurn(now, EvacuationDuty)
 	switch {
 	case !turn && b.cancelEvacuationWait != nil:
 		b.cancelEvacuationWait()
