Who watches the store for a moment leaves the evacuations

Cause: a balancer took the duty up as soon as it watched.

Change: it takes the duty up after it has watched for half a second. Takeovers wait for nothing: a watcher that fails, or another failure domain's that ends, is followed at once as before.

Evidence: TestMomentaryWatchersLeaveEvacuations, 30 balancers that start 15 ms apart, before: 32 reads and 38 waits in the first seconds (18 waits allowed); after: 4 and 11.

TestUnreadableConfigurationLeavesEvacuations lets the half second pass on its clock; its check is the same.

--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -152,11 +152,12 @@
 	// settled reports whether this balancer knows all targets that the others know.
 	settled bool
 	// watching reports whether this balancer watches the platform and was answered within the
-	// lease. answeredAt is the time of the last answer, and answerTime how long the platform
+	// lease, and watchingSince since when. answeredAt is the time of the last answer, and answerTime how long the platform
 	// takes for one; zero if it is not slow.
-	watching   bool
-	answeredAt clock.Millis
-	answerTime clock.Millis
+	watching      bool
+	watchingSince clock.Millis
+	answeredAt    clock.Millis
+	answerTime    clock.Millis
 	// retryWatchAt is the time before which the platform is not tried again after a
 	// failure; zero if it has answered since, or another balancer's watch has ended.
 	retryWatchAt clock.Millis
--- a/internal/process/streambalancer/duties.go
+++ b/internal/process/streambalancer/duties.go
@@ -23,6 +23,10 @@
 
 const dutyCount = 2
 
+// evacuationStartDelay is how long a balancer has watched the platform before it also watches
+// the evacuations: at a start many watch for a moment, and each wait is billed.
+const evacuationStartDelay = 500 * clock.Millis(1)
+
 var dutyNames = map[Duties]string{EvacuationDuty: "evacuations", KeeperDuty: "checkpoints"}
 
 // Has reports whether the set contains a duty.
@@ -99,8 +103,11 @@
 	if b.leaving {
 		return 0, false
 	}
+	if b.watching && duty == EvacuationDuty {
+		return max(b.watchingSince+evacuationStartDelay-now, 0), b.peers.readsEvacuations(now)
+	}
 	if b.watching {
-		return 0, duty != EvacuationDuty || b.peers.readsEvacuations(now)
+		return 0, true
 	}
 	return b.peers.DutyDelay(now, duty, b.duties.Has(duty))
 }
@@ -160,8 +167,9 @@
 	}
 }
 
-// handleDuties handles a balancer's news about duties: this one may have to take over, or to
-// leave the wait for evacuations to another one. The caller holds the lock.
+// handleDuties handles a change in what a balancer announces: this one may have to take over
+// the watch of the evacuations at once, or to leave its wait for them to another one. The
+// caller holds the lock.
 func (b *Balancer) handleDuties(now clock.Millis) {
 	turn := b.isDutyTurn(now, EvacuationDuty)
 	switch {
--- a/internal/process/streambalancer/watch.go
+++ b/internal/process/streambalancer/watch.go
@@ -194,7 +194,7 @@
 	if b.watching == on {
 		return
 	}
-	b.watching = on
+	b.watching, b.watchingSince = on, now
 	b.deps.Log.Info().Str("event", "watch").Bool("watching", on).Send()
 	if !on {
 		b.endDuties()
