News that a balancer has acted on cancel no wait

Each is billed.

Cause: a wake-up that arrives while the version is fetched stays in the channel, and cancels the next wait, which then begins anew; with several news, several times. The pause of zero between two steps may or may not take it.

Change: a step clears the wake-up before it looks at the state. News after that still cancel its wait.

--- a/internal/process/streambalancer/config.go
+++ b/internal/process/streambalancer/config.go
@@ -91,9 +91,19 @@
 	}
 }
 
+// clearConfigWake clears a wake-up whose cause the next step takes into account anyway.
+// Otherwise it would cancel the step's wait, and each wait is billed.
+func (b *Balancer) clearConfigWake() {
+	select {
+	case <-b.configWake:
+	default:
+	}
+}
+
 // syncConfigOnce makes one step and returns how long to wait for the next one. It returns
 // false after a failure.
 func (b *Balancer) syncConfigOnce(ctx context.Context) (time.Duration, bool) {
+	b.clearConfigWake()
 	b.mu.Lock()
 	now := b.deps.Clock.Now()
 	version, table := b.tableVersion(), b.steerer.Table()
