A keeper that returns writes no sooner, unless its writes had failed

Found by reading the change again: Keeper.Reset had come to forget the next write's time, so that two balancers that replace each other as watchers of an unsteady store write at each turn, more often than the share of the store's writes that checkpoints may use. It forgets it after failures only, for which it was made.

Evidence: TestKeeperThatReturnsWritesNotSooner before: "1 shards are due a second after the last write". TestKeeperThatReturnsForgetsFailures fails if nothing is forgotten (the pause of up to 30 s after failures), which had no test of its own.

--- a/internal/connection/checkpoint/keeper.go
+++ b/internal/connection/checkpoint/keeper.go
@@ -99,7 +99,9 @@
 	k.entries, k.assemblies = map[netip.AddrPort]*keptEntry{}, map[netip.AddrPort]*assembly{}
 	k.changed, k.writing = map[int]bool{}, map[int]map[netip.AddrPort]uint32{}
 	k.shardCount = 1
-	k.failedWrites, k.nextWrite = 0, 0
+	if k.failedWrites > 0 {
+		k.failedWrites, k.nextWrite = 0, 0
+	}
 }
 
 // SetDomainCount sets the number of failure domains; each has a keeper.
--- a/internal/connection/checkpoint/keeper_test.go
+++ b/internal/connection/checkpoint/keeper_test.go
@@ -251,3 +251,43 @@
 		t.Errorf("%d bytes are held", held)
 	}
 }
+
+// Two balancers replace each other as keepers every second. Each writes at once when it begins,
+// more often than the store's limit allows.
+func TestKeeperThatReturnsWritesNotSooner(t *testing.T) {
+	k := testKeeper()
+	receiveFlows(t, k, testNow, 1, 1)
+	if len(k.Due(testNow)) != 1 {
+		t.Fatal("the first entry is not due")
+	}
+	k.WriteSucceeded(0)
+	k.ScheduleNext(testNow, 0)
+	k.Reset()
+	receiveFlows(t, k, testNow+clock.Second, 1, 2)
+	if due := k.Due(testNow + clock.Second); len(due) != 0 {
+		t.Errorf("%d shards are due a second after the last write", len(due))
+	}
+	if due := k.Due(testNow + 2*minWriteInterval); len(due) != 1 {
+		t.Errorf("%d shards are due after the interval", len(due))
+	}
+}
+
+// A keeper whose writes have failed for long is replaced, and begins again when the store
+// answers. Its first write waits as if the failures went on.
+func TestKeeperThatReturnsForgetsFailures(t *testing.T) {
+	k := testKeeper()
+	now := testNow
+	receiveFlows(t, k, now, 1, 1)
+	for range 6 {
+		k.Due(now)
+		k.WriteFailed(0)
+		k.ScheduleNext(now, 1)
+		now += maxRetryInterval * 2
+	}
+	k.ScheduleNext(now, 1)
+	k.Reset()
+	receiveFlows(t, k, now+minWriteInterval, 1, 2)
+	if due := k.Due(now + 2*minWriteInterval); len(due) != 1 {
+		t.Errorf("%d shards are due after the interval", len(due))
+	}
+}
