A stop does not wait for the answer to a ping

A ping is answered by a task of its own. When the process stops that task may not begin any more, and the ping waited for its timeout, up to 3.6 s of the time until SIGKILL while the store is slow. Found by reading.

TestPingEndsAtStop before: 3 s; after: at once.

--- a/internal/process/streambalancer/wake_test.go
+++ b/internal/process/streambalancer/wake_test.go
@@ -51,3 +51,17 @@
 		t.Errorf("news during a wait have cancelled %d waits", source.cancelled)
 	}
 }
+
+// The process stops while the platform is pinged; it must not wait for the answer.
+func TestPingEndsAtStop(t *testing.T) {
+	b := newBalancer(Settings{Name: "b", Domain: "d", Parcels: peerAddress(0)}, Deps{
+		Codec: fakeCodec{}, Source: unreadableSource{}, Clock: clock.System(), Log: zerolog.Nop(), Scope: tally.NoopScope,
+	}, 1)
+	b.background.Wait()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	started := time.Now()
+	if err := b.ping(ctx, 3*time.Second); platformAnswered(err) || time.Since(started) > time.Second {
+		t.Errorf("%v after %v", err, time.Since(started))
+	}
+}
--- a/internal/process/streambalancer/watch.go
+++ b/internal/process/streambalancer/watch.go
@@ -96,6 +96,8 @@
 	select {
 	case err := <-answer:
 		return err
+	case <-ctx.Done():
+		return platform.ErrUnavailable
 	case <-time.After(timeout):
 		return platform.ErrUnavailable
 	}
