Both edges share who takes over next and whom to contact after a partition

The delay by rank stood in streambalancer and in member, and the balancers that were removed as silent in streambalancer and in balancer, the latter in another order and with another interval. They are a package of pure decisions now, internal/process/failover, with tests of its own.

--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -37,6 +37,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/wagtailtray/wagtailtray/internal/process/control"
+	"github.com/wagtailtray/wagtailtray/internal/process/failover"
 	"github.com/wagtailtray/wagtailtray/internal/process/member"
 	"github.com/wagtailtray/wagtailtray/internal/process/successor"
 	"github.com/wagtailtray/wagtailtray/internal/process/tasks"
@@ -122,9 +123,8 @@
 	self       member.Member
 	tracked    map[member.Key]*trackedTarget
 	targetKeys map[heartbeatKey]member.Key
-	// former has the control addresses of balancers whose records were removed, with the
-	// time of that.
-	former map[netip.AddrPort]clock.Millis
+	// former has the control addresses of balancers whose records were removed.
+	former failover.Former
 	edges  map[uint32]*edge
 	// balancerChanges and serviceChanges count changes of members.
 	balancerChanges uint64
@@ -159,7 +159,7 @@
 		hints:   target.NewHints(settings.Limits),
 		sealer:  envelope.NewSealer(deps.Ring, envelope.MaxSize(settings.MTU, settings.Tunnel)-envelope.WalkReserve),
 		replica: spread.NewReplica(), table: member.NewTable(),
-		tracked: map[member.Key]*trackedTarget{}, targetKeys: map[heartbeatKey]member.Key{}, serviceChanges: map[string]uint64{}, edges: map[uint32]*edge{}, former: map[netip.AddrPort]clock.Millis{},
+		tracked: map[member.Key]*trackedTarget{}, targetKeys: map[heartbeatKey]member.Key{}, serviceChanges: map[string]uint64{}, edges: map[uint32]*edge{},
 		client: client, updates: make(chan update, maxQueuedUpdates), heartbeats: make(chan queuedHeartbeat, maxQueuedHeartbeats),
 	}
 	b.waiting = b.newWaiting()
--- a/internal/process/member/relay.go
+++ b/internal/process/member/relay.go
@@ -3,16 +3,13 @@
 import (
 	"github.com/zeebo/xxh3"
 
+	"github.com/wagtailtray/wagtailtray/internal/process/failover"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
 )
 
 const (
 	// relaysPerDomain is the number of balancers of a domain that watch the platform.
 	relaysPerDomain = 2
-	// maxTakeoverDelay is the delay that balancers of low rank approach before they replace
-	// a relay: the platform may serve any of them, and that one must have a new version in
-	// time.
-	maxTakeoverDelay = 800 * clock.Millis(1)
 	// minRelayRetry is the delay after a first failure, which doubles with each further one.
 	// maxFirstRetry bounds it for balancers of the first ranks, which are to notice soon
 	// that the platform answers again, and maxRelayRetry for the others.
@@ -68,7 +65,7 @@
 	case r.isFirst:
 		return now >= r.retryAt
 	default:
-		return now >= max(r.retryAt, r.lackingSince+takeoverDelay(c.higherOthers))
+		return now >= max(r.retryAt, r.lackingSince+failover.Delay(c.higherOthers))
 	}
 }
 
@@ -95,13 +92,6 @@
 	r.failures, r.retryAt = 0, 0
 }
 
-// takeoverDelay returns how long a balancer leaves the watch to a number of balancers of
-// higher rank that do not watch. They take turns; otherwise all would replace a relay that
-// stops.
-func takeoverDelay(higher int) clock.Millis {
-	return maxTakeoverDelay * clock.Millis(higher) / clock.Millis(higher+3)
-}
-
 // relayCounts counts the live balancers of a domain besides one: those of higher rank that
 // watch the platform and those that do not, and those of lower rank that watch it.
 type relayCounts struct {
--- a/internal/process/streambalancer/duties.go
+++ b/internal/process/streambalancer/duties.go
@@ -3,6 +3,7 @@
 import (
 	"math/bits"
 
+	"github.com/wagtailtray/wagtailtray/internal/process/failover"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
 )
 
@@ -67,7 +68,7 @@
 // A balancer that performs the duty leaves it to one of higher rank that does as well. Others
 // leave it to any that performs it.
 func (ps *Peers) DutyDelay(now clock.Millis, duty Duties, performing bool) (delay clock.Millis, needed bool) {
-	higher, since, heldAt := clock.Millis(0), clock.Millis(0), &ps.dutyHeldAt[duty.index()]
+	higher, since, heldAt := 0, clock.Millis(0), &ps.dutyHeldAt[duty.index()]
 	for _, p := range ps.known {
 		if p.Domain != ps.self.Domain || !p.Live(now) {
 			continue
@@ -88,7 +89,7 @@
 	if performing {
 		return max(delay, 0), needed
 	}
-	return max(delay, max(since, *heldAt)+takeoverDelay(higher)-now, 0), needed
+	return max(delay, max(since, *heldAt)+failover.Delay(higher)-now, 0), needed
 }
 
 // believedWatcher reports whether the balancer's announcement that it watches the platform
--- a/internal/process/streambalancer/neighbours.go
+++ b/internal/process/streambalancer/neighbours.go
@@ -129,7 +129,7 @@
 			due = append(due, p)
 		}
 	}
-	if a, ok := ps.former.next(now); ok {
+	if a, ok := ps.former.Next(now); ok {
 		due = append(due, &Peer{Address: a})
 	}
 	return due
--- a/internal/process/streambalancer/news.go
+++ b/internal/process/streambalancer/news.go
@@ -209,7 +209,7 @@
 		Watching: n.Watching, Duties: Duties(n.Duties), Failing: Duties(n.Failing), Leaving: n.Leaving, Settled: n.Settled, ChoseThis: n.Chose,
 		View: View{Digest: n.Digest, Lost: n.Lost}, Resting: n.Resting, Lateness: decodeLateness(n.Lateness),
 	})
-	if b.peers.former.takeReturned(from, n.Epoch) {
+	if b.peers.former.TakeReturned(from, n.Epoch) {
 		b.checkRegistration()
 	}
 	b.handleEvacuations(now, n.Evacuations)
--- a/internal/process/streambalancer/peers.go
+++ b/internal/process/streambalancer/peers.go
@@ -8,6 +8,7 @@
 
 	"github.com/zeebo/xxh3"
 
+	"github.com/wagtailtray/wagtailtray/internal/process/failover"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
 )
 
@@ -124,7 +125,8 @@
 	sorted      []*Peer
 	neighbours  []*Peer
 	refreshedAt clock.Millis
-	former      formerPeers
+	// former has the balancers that were removed as silent.
+	former failover.Former
 	// relays holds the relays of each failure domain, selected together with the
 	// neighbours.
 	relays map[string][]*Peer
@@ -134,7 +136,6 @@
 func NewPeers(now clock.Millis, self Peer, seeds []netip.AddrPort) *Peers {
 	ps := &Peers{
 		self: self, startedAt: now, known: map[netip.AddrPort]*Peer{}, covered: map[View]bool{},
-		former: formerPeers{removed: map[netip.AddrPort]removedPeer{}},
 	}
 	ps.AddSeeds(now, seeds)
 	return ps
@@ -292,7 +293,9 @@
 			delete(ps.known, a)
 			ps.sorted, ps.refreshedAt = nil, 0
 			removed = append(removed, p)
-			ps.former.add(now, p)
+			if p.HeardAt != 0 && !p.Leaving {
+				ps.former.Add(now, a, p.Epoch)
+			}
 		}
 	}
 	return removed
--- a/internal/process/streambalancer/register_test.go
+++ b/internal/process/streambalancer/register_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/wagtailtray/wagtailtray/internal/process/directory"
+	"github.com/wagtailtray/wagtailtray/internal/process/failover"
 	"github.com/wagtailtray/wagtailtray/pkg/platform"
 )
 
@@ -78,7 +79,7 @@
 				}
 				time.Sleep(2 * peerRetention.Duration())
 				f.partitioned.Clear()
-				time.Sleep(formerContactInterval.Duration() + maxRecheckDelay + 5*time.Second)
+				time.Sleep(failover.ContactInterval.Duration() + maxRecheckDelay + 5*time.Second)
 				list, err := store.List(ctx, platform.Processes)
 				if err != nil || len(list.Items) != count {
 					t.Errorf("%d of %d balancers are registered", len(list.Items), count)
--- a/internal/process/streambalancer/roles.go
+++ b/internal/process/streambalancer/roles.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"slices"
 
+	"github.com/wagtailtray/wagtailtray/internal/process/failover"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
 )
 
@@ -11,21 +12,11 @@
 	// watchGracePeriod is how long a balancer of higher rank may be without the platform
 	// before the next one tries to watch it.
 	watchGracePeriod = 200 * clock.Millis(1)
-	// maxTakeoverDelay is the delay that those of low rank approach. The platform may
-	// serve any balancer, and that one must have a new version in time.
-	maxTakeoverDelay = 4 * watchGracePeriod
 	// watcherTimeout is the silence after which a balancer no longer counts as watching: the
 	// answer on which its last announcement rests is older.
 	watcherTimeout = watchLease
 )
 
-// takeoverDelay returns how long a balancer leaves the watch to a number of balancers of
-// higher rank that are without the platform. The first ones take turns; otherwise all would
-// replace a watcher that stops.
-func takeoverDelay(higher clock.Millis) clock.Millis {
-	return maxTakeoverDelay * higher / (higher + 3)
-}
-
 // Watches reports whether this balancer watches the platform for changes, because no live
 // neighbour of higher rank in its failure domain does.
 //
@@ -39,7 +30,7 @@
 // WatchDelay returns how long after now this balancer is to watch the platform, unless news
 // come earlier; zero if it watches now.
 func (ps *Peers) WatchDelay(now clock.Millis) clock.Millis {
-	delay, higher := clock.Millis(0), clock.Millis(0)
+	delay, higher := clock.Millis(0), 0
 	for _, p := range ps.known {
 		if p.Domain != ps.self.Domain || compareRank(p, &ps.self) > 0 {
 			continue
@@ -56,7 +47,7 @@
 		}
 	}
 	ended := max(ps.higherRankWatchedAt, ps.watchEndedAt)
-	return max(delay, ended+takeoverDelay(higher)-now, 0)
+	return max(delay, ended+failover.Delay(higher)-now, 0)
 }
 
 // isWatcher reports whether the balancer has last announced that it watches the platform.
--- a/internal/process/streambalancer/watch.go
+++ b/internal/process/streambalancer/watch.go
@@ -18,7 +18,7 @@
 const (
 	// WaitHold is how long the platform is to hold a Source's wait without a change. A platform
 	// that swallows a wait while its replicas answer pings is noticed only when the wait
-	// fails. Together with WaitSlack and maxTakeoverDelay this stays close to the time within
+	// fails. Together with WaitSlack and failover.MaxDelay this stays close to the time within
 	// which a version must be active; shorter waits cost more, as each one is billed.
 	WaitHold = 2 * time.Second
 	// WaitSlack is how much longer the answer may take, unless the platform is slow.
@@ -32,7 +32,7 @@
 	// pingRetryDelay is the delay after a ping that was refused at once.
 	pingRetryDelay = 100 * time.Millisecond
 	// watchLease is how long a balancer counts as watching after an answer, if the platform
-	// is not slow. Together with maxTakeoverDelay it stays below the time within which a
+	// is not slow. Together with failover.MaxDelay it stays below the time within which a
 	// version must be active.
 	watchLease = pingInterval + pingTimeout
 )
