--- a/internal/process/streambalancer/config.go
+++ b/internal/process/streambalancer/config.go
@@ -156,7 +156,7 @@
 
 // readTimeout returns how long a read may take.
 func (b *Balancer) readTimeout() time.Duration {
-	return initialReadTimeout + rand.N(initialReadTimeout) + b.lockedAnswerTimeout(0)
+	return initialReadTimeout + rand.N(initialReadTimeout) + b.currentTimeout(0)
 }
 
 // applyTable activates a routing table and notifies the neighbours.
--- a/internal/process/streambalancer/duties.go
+++ b/internal/process/streambalancer/duties.go
@@ -75,7 +75,7 @@
 		}
 		higherRank := compareRank(p, &ps.self) < 0
 		switch {
-		case p.believedWatcher(now):
+		case p.isCurrentWatcher(now):
 			needed = needed || p.Failing.Has(duty)
 			since = max(since, p.failingSince[duty.index()])
 		case p.Duties.Has(duty) && (higherRank || !performing):
@@ -92,9 +92,9 @@
 	return max(delay, max(since, *heldAt)+failover.Delay(higher)-now, 0), needed
 }
 
-// believedWatcher reports whether the balancer's announcement that it watches the platform
+// isCurrentWatcher reports whether the balancer's announcement that it watches the platform
 // is recent enough.
-func (p *Peer) believedWatcher(now clock.Millis) bool {
+func (p *Peer) isCurrentWatcher(now clock.Millis) bool {
 	return p.isWatcher() && now.Sub(p.HeardAt) <= watcherTimeout
 }
 
--- a/internal/process/streambalancer/evacuations.go
+++ b/internal/process/streambalancer/evacuations.go
@@ -99,7 +99,7 @@
 	if !b.setEvacuationWait(cancel) {
 		return nil
 	}
-	slack := b.lockedAnswerTimeout(clock.FromDuration(WaitSlack))
+	slack := b.currentTimeout(clock.FromDuration(WaitSlack))
 	later, err := b.deps.Evacuations.Wait(wait, known, slack)
 	b.setEvacuationWait(nil)
 	switch {
--- a/internal/process/streambalancer/watch.go
+++ b/internal/process/streambalancer/watch.go
@@ -57,7 +57,8 @@
 	return max(least, b.answerTime*3/2)
 }
 
-func (b *Balancer) lockedAnswerTimeout(least clock.Millis) time.Duration {
+// currentTimeout is answerTimeout for a caller that does not hold the lock.
+func (b *Balancer) currentTimeout(least clock.Millis) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.answerTimeout(least).Duration()
@@ -73,7 +74,7 @@
 // platform is unavailable, many balancers try, and a ping costs little. Its answer may come
 // from a replica and is not enough.
 func (b *Balancer) startWatch(ctx context.Context) bool {
-	err := b.ping(ctx, b.lockedAnswerTimeout(pingTimeout))
+	err := b.ping(ctx, b.currentTimeout(pingTimeout))
 	if !platformAnswered(err) {
 		return b.applyTable(nil, err, "platform")
 	}
@@ -115,7 +116,7 @@
 	defer cancel()
 	go b.cancelOnWake(ctx, cancel)
 	go b.renewWatch(ctx, cancel)
-	slack := b.lockedAnswerTimeout(clock.FromDuration(WaitSlack))
+	slack := b.currentTimeout(clock.FromDuration(WaitSlack))
 	change, err := b.deps.Source.Wait(ctx, max(b.seenRevision, current.Revision), slack)
 	if ctx.Err() != nil {
 		return 0, true
@@ -142,7 +143,7 @@
 // renewWatch pings the platform during a wait, and cancels the wait if the platform no
 // longer answers.
 func (b *Balancer) renewWatch(ctx context.Context, cancel context.CancelFunc) {
-	pause := b.untilLeaseEnds() - b.lockedAnswerTimeout(pingTimeout)
+	pause := b.untilLeaseEnds() - b.currentTimeout(pingTimeout)
 	for {
 		select {
 		case <-ctx.Done():
