--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -131,10 +131,10 @@
 	serviceChanges  map[string]uint64
 	nextNeighbour   int
 	lastTick        clock.Millis
-	// relay decides whether this balancer watches the platform. relayRevision is one more
-	// than the balancerChanges that it knows.
-	relay         member.Relay
-	relayRevision uint64
+	// relay decides whether this balancer watches the platform. It is stale after a change of
+	// a balancer's record.
+	relay      member.Relay
+	relayStale bool
 
 	server     *control.Server
 	client     ControlClient
@@ -159,7 +159,7 @@
 		hints:   target.NewHints(settings.Limits),
 		sealer:  envelope.NewSealer(deps.Ring, envelope.MaxSize(settings.MTU, settings.Tunnel)-envelope.WalkReserve),
 		replica: spread.NewReplica(), table: member.NewTable(),
-		tracked: map[member.Key]*trackedTarget{}, targetKeys: map[heartbeatKey]member.Key{}, serviceChanges: map[string]uint64{}, edges: map[uint32]*edge{},
+		tracked: map[member.Key]*trackedTarget{}, targetKeys: map[heartbeatKey]member.Key{}, serviceChanges: map[string]uint64{}, edges: map[uint32]*edge{}, relayStale: true,
 		client: client, updates: make(chan update, maxQueuedUpdates), heartbeats: make(chan queuedHeartbeat, maxQueuedHeartbeats),
 	}
 	b.waiting = b.newWaiting()
--- a/internal/process/balancer/relay.go
+++ b/internal/process/balancer/relay.go
@@ -63,9 +63,9 @@
 func (b *Balancer) relayWanted() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.relayRevision != b.balancerChanges+1 {
-		b.relayRevision = b.balancerChanges + 1
+	if b.relayStale {
 		b.relay.SetBalancers(b.table.Balancers(), &b.self)
+		b.relayStale = false
 	}
 	return b.self.State == member.Alive && b.relay.Wanted(b.deps.Clock.Now(), b.self.Watching)
 }
--- a/internal/process/balancer/view.go
+++ b/internal/process/balancer/view.go
@@ -44,6 +44,7 @@
 		m := &records[i]
 		if m.Kind == member.Balancer {
 			b.balancerChanges++
+			b.relayStale = true
 			continue
 		}
 		b.serviceChanges[m.Service]++
