QUIC edge: a lost history causes no loop of reads

Cause: a relay watched from the resource version of the root, which is that of its last change, and after ErrGone read the same version again, without a pause.

After it the test passes.

Change: approval.LoadKnown lists the configurations and returns the list's resource version, as pkg/platform tells to do; the kind has the root only, so the bytes are the same. ErrGone is followed by a pause of half a second. Load and Commit go on reading the root by name, since a conditional write needs its own version.

--- a/internal/process/balancer/relay.go
+++ b/internal/process/balancer/relay.go
@@ -21,8 +21,11 @@
 	// the timeout of a ping and the delay until another balancer takes over it stays below
 	// the time within which a version must be in force.
 	pingInterval = clock.Second
-	// maxWatchTime bounds a watch, after which the root is loaded again.
-	maxWatchTime = 5 * clock.Minute
+	// watchInterval is how long a watch lasts until the next one continues it.
+	watchInterval = 5 * clock.Minute
+	// lostHistoryPause is the pause before the configuration is loaded again because the
+	// platform's history does not reach back to the last load.
+	lostHistoryPause = 500 * clock.Millis(1)
 	// pingObject is the name of an object that does not exist.
 	pingObject = "ping"
 )
@@ -128,10 +131,14 @@
 	b.run(ctx, func(ctx context.Context) { cancel(b.superviseWatch(ctx, timeout)) })
 	for {
 		err := b.watchOnce(ctx, version)
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			return watchEnd(ctx)
-		}
-		if !errors.Is(err, errRootChanged) && !errors.Is(err, platform.ErrGone) {
+		case err == nil:
+			continue
+		case errors.Is(err, platform.ErrGone):
+			<-after(lostHistoryPause)
+		case !errors.Is(err, errRootChanged):
 			return err
 		}
 		if version, err = b.loadConfiguration(ctx); err != nil {
@@ -148,16 +155,16 @@
 	return nil
 }
 
-// watchOnce waits for a change of the root after a version, but no longer than
-// maxWatchTime: a connection that has gone silent would not report it.
+// watchOnce waits for watchInterval for a change of the root after a version. It returns
+// errRootChanged after a change, and nil if there was none.
 func (b *Balancer) watchOnce(ctx context.Context, version uint64) error {
-	ctx, cancel := context.WithTimeoutCause(ctx, maxWatchTime.Duration(), errRootChanged)
+	ctx, cancel := context.WithTimeout(ctx, watchInterval.Duration())
 	defer cancel()
 	err := b.deps.Store.Watch(ctx, platform.Configurations, version, func(platform.Event) error {
 		return errRootChanged
 	})
-	if errors.Is(context.Cause(ctx), errRootChanged) {
-		return errRootChanged
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) && !errors.Is(err, errRootChanged) {
+		return nil
 	}
 	return err
 }
--- a/internal/process/balancer/relay_test.go
+++ b/internal/process/balancer/relay_test.go
@@ -54,6 +54,35 @@
 	treatments map[string]treatment
 	processes  []platform.Object
 	calls      int
+	// revision is that of the store, and oldest the first one from which a watch can start.
+	revision, oldest uint64
+	rootRevision     uint64
+	// connections counts how often all open connections have gone silent.
+	connections int
+}
+
+// write changes other objects of the store, whose history then reaches back to these changes
+// only.
+func (s *relayStore) write(count uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision += count
+	s.oldest = s.revision
+}
+
+// silenceConnections makes all open connections silent, while new ones work.
+func (s *relayStore) silenceConnections() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.connections++
+	s.wake()
+}
+
+// watchState returns what a watch depends on.
+func (s *relayStore) watchState() (rootRevision, oldest uint64, connections int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rootRevision, s.oldest, s.connections
 }
 
 func (s *relayStore) wake() {
@@ -74,6 +103,8 @@
 	defer s.mu.Unlock()
 	base := s.root
 	s.root.SetNextVersion(&base, config.Change{ID: fmt.Sprint(base.Version)})
+	s.revision++
+	s.rootRevision = s.revision
 	s.wake()
 	return s.root.Version
 }
@@ -132,15 +163,28 @@
 	if name != approval.RootName {
 		return platform.Object{}, platform.ErrNotFound
 	}
+	return c.rootObject(root)
+}
+
+func (c relayClient) rootObject(root config.Root) (platform.Object, error) {
 	data, err := json.Marshal(root)
-	return platform.Object{Metadata: platform.Metadata{Name: name, ResourceVersion: root.Version}, Spec: data}, err
+	revision, _, _ := c.watchState()
+	return platform.Object{Metadata: platform.Metadata{Name: approval.RootName, ResourceVersion: revision}, Spec: data}, err
 }
 
-func (c relayClient) List(ctx context.Context, _ platform.Kind) (platform.List, error) {
-	_, err := c.answer(ctx)
+func (c relayClient) List(ctx context.Context, kind platform.Kind) (platform.List, error) {
+	root, err := c.answer(ctx)
+	if err != nil {
+		return platform.List{}, err
+	}
+	o, err := c.rootObject(root)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return platform.List{Items: c.processes}, err
+	list := platform.List{Metadata: platform.Metadata{ResourceVersion: c.revision}, Items: c.processes}
+	if kind == platform.Configurations {
+		list.Items = []platform.Object{o}
+	}
+	return list, err
 }
 
 func (c relayClient) Create(ctx context.Context, _ platform.Kind, name string, spec any) (platform.Object, error) {
@@ -163,18 +207,23 @@
 func (c relayClient) Delete(context.Context, platform.Kind, platform.Object) error { return nil }
 
 func (c relayClient) Watch(ctx context.Context, _ platform.Kind, after uint64, each func(platform.Event) error) error {
+	_, oldest, connection := c.watchState()
 	if _, err := c.answer(ctx); err != nil {
 		return err
 	}
+	if after < oldest {
+		return platform.ErrGone
+	}
 	for {
-		root, changed, t := c.state(c.name)
+		_, changed, t := c.state(c.name)
+		rootRevision, _, connections := c.watchState()
 		switch {
 		case t == refused:
 			return platform.ErrUnavailable
-		case t == silent:
+		case t == silent, connection != connections:
 			<-ctx.Done()
 			return platform.ErrUnavailable
-		case root.Version > after:
+		case rootRevision > after:
 			return each(platform.Event{Type: platform.Modified})
 		}
 		select {
@@ -389,6 +438,26 @@
 	}
 }
 
+// The platform's history no longer reaches back to the last change of the root. Relays read
+// the root and try to watch from there over and over.
+func TestLostHistoryCausesNoCrowd(t *testing.T) {
+	const period, relays = 30 * time.Second, 4
+	runRelayFleet(t, 12, func(f *relayFleet) {
+		f.store.write(1000)
+		// Open watches end, and begin anew.
+		f.store.treat(f.treatAll(refused))
+		time.Sleep(100 * time.Millisecond)
+		f.store.treat(nil)
+		time.Sleep(10 * time.Second)
+		before := f.store.callCount()
+		time.Sleep(period)
+		if calls, limit := f.store.callCount()-before, relays*2*int(period/time.Second); calls > limit {
+			t.Errorf("%d calls in %v, want at most %d", calls, period, limit)
+		}
+		f.checkChange("lost history")
+	})
+}
+
 // treatAll treats all balancers in one way.
 func (f *relayFleet) treatAll(how treatment) map[string]treatment {
 	all := map[string]treatment{}
--- a/internal/version/approval/approval.go
+++ b/internal/version/approval/approval.go
@@ -24,6 +24,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/google/uuid"
@@ -85,35 +86,56 @@
 // Load reads the state from the platform. Without a configuration it returns the
 // empty state, version 0.
 func Load(ctx context.Context, store platform.Store) (*config.State, error) {
-	state, _, err := load(ctx, store, nil)
+	state, _, err := load(ctx, store)
 	return state, err
 }
 
 // LoadKnown is like Load but reads only the records that the earlier state known
-// lacks. It also returns the resource version of the root.
+// lacks. It also returns the resource version from which a watch reports later changes:
+// that of the list, as the platform's history may not reach back to that of the root.
 func LoadKnown(ctx context.Context, store platform.Store, known *config.State) (*config.State, uint64, error) {
-	return load(ctx, store, known)
+	list, err := store.List(ctx, platform.Configurations)
+	if err != nil {
+		return nil, 0, err
+	}
+	i := slices.IndexFunc(list.Items, func(o platform.Object) bool { return o.Metadata.Name == RootName })
+	if i < 0 {
+		return emptyState(), list.Metadata.ResourceVersion, nil
+	}
+	state, err := parseRoot(ctx, store, list.Items[i], known)
+	return state, list.Metadata.ResourceVersion, err
 }
 
-func load(ctx context.Context, store platform.Store, known *config.State) (*config.State, uint64, error) {
-	state := &config.State{Records: map[string]*config.Service{}}
+// load returns the state and the resource version of the root.
+func load(ctx context.Context, store platform.Store) (*config.State, uint64, error) {
 	o, err := store.Get(ctx, platform.Configurations, RootName)
 	if errors.Is(err, platform.ErrNotFound) {
-		return state, 0, nil
+		return emptyState(), 0, nil
 	}
 	if err != nil {
 		return nil, 0, err
 	}
-	if err := json.Unmarshal(o.Spec, &state.Root); err != nil {
-		return nil, 0, errs.Wrap(err)
+	state, err := parseRoot(ctx, store, o, nil)
+	return state, o.Metadata.ResourceVersion, err
+}
+
+func emptyState() *config.State {
+	return &config.State{Records: map[string]*config.Service{}}
+}
+
+// parseRoot returns the state of a root, whose records it reads unless known has them.
+func parseRoot(ctx context.Context, store platform.Store, root platform.Object, known *config.State) (*config.State, error) {
+	state := emptyState()
+	if err := json.Unmarshal(root.Spec, &state.Root); err != nil {
+		return nil, errs.Wrap(err)
 	}
 	if known != nil && known.Root.Version == state.Root.Version {
-		return known, o.Metadata.ResourceVersion, nil
+		return known, nil
 	}
 	if err := loadRecords(ctx, store, state, known); err != nil {
-		return nil, 0, err
+		return nil, err
 	}
-	return state, o.Metadata.ResourceVersion, nil
+	return state, nil
 }
 
 // minMissingForList is the number of missing records from which one list of all
@@ -179,7 +201,7 @@
 	if err := p.Check(); err != nil {
 		return nil, err
 	}
-	current, version, err := load(ctx, store, nil)
+	current, version, err := load(ctx, store)
 	if err != nil {
 		return nil, err
 	}
@@ -264,7 +286,7 @@
 		return nil, err
 	}
 	for range maxReadAttempts {
-		current, _, e := load(ctx, store, nil)
+		current, _, e := load(ctx, store)
 		if e != nil {
 			continue
 		}
