QUIC edge: watches whose connections have gone silent are continued

Cause: a watch keeps one connection while nothing changes, the idlest there is.

Change: a watch is continued after two seconds from the same resource version, on another connection. Pings stay, since an unanswered watch looks like one without changes.

--- a/internal/capacity/costs.go
+++ b/internal/capacity/costs.go
@@ -48,6 +48,7 @@
 	updatesPerFailure       = 3
 	relaysPerDomain         = 2
 	relayPingsPerSecond     = 1
+	relayWatchesPerSecond   = 0.5
 	maxHints                = 262144
 	secondsPerDay           = 86400
 	pushBodyBytes           = 700
@@ -175,6 +176,7 @@
 	return newRow("platform", "reads and waiting watches", "calls a second", BudgetReadsPerSecond,
 		Term{"waiting watches", relays},
 		Term{"pings beside them", relays * relayPingsPerSecond},
+		Term{"watches that continue them", relays * relayWatchesPerSecond},
 		Term{"relays after a change", s.ChangesPerDay / secondsPerDay * relays * in.cost(RelayReads, 1)},
 		Term{"approvals", s.ChangesPerDay / secondsPerDay * in.cost(ApprovalReads, 1)},
 		Term{"agents and balancers that start", s.RestartsPerDay / secondsPerDay * platformCallsPerRestart},
--- a/internal/process/balancer/relay.go
+++ b/internal/process/balancer/relay.go
@@ -21,8 +21,9 @@
 	// the timeout of a ping and the delay until another balancer takes over it stays below
 	// the time within which a version must be in force.
 	pingInterval = clock.Second
-	// watchInterval is how long a watch lasts until the next one continues it.
-	watchInterval = 5 * clock.Minute
+	// watchInterval is how long a watch lasts until the next one continues it: a connection
+	// may go silent for good, and would not report a change.
+	watchInterval = 2 * clock.Second
 	// lostHistoryPause is the pause before the configuration is loaded again because the
 	// platform's history does not reach back to the last load.
 	lostHistoryPause = 500 * clock.Millis(1)
--- a/internal/process/balancer/relay_test.go
+++ b/internal/process/balancer/relay_test.go
@@ -438,6 +438,19 @@
 	}
 }
 
+// All connections that are open go silent for good while new ones work, as when something
+// between the two ends has lost track of them; a version that comes then must be read in time.
+func TestSilentConnectionsAreRenewed(t *testing.T) {
+	runRelayFleet(t, 12, func(f *relayFleet) {
+		for i := range 5 {
+			time.Sleep(time.Duration(i) * 370 * time.Millisecond)
+			f.store.silenceConnections()
+			time.Sleep(10 * time.Millisecond)
+			f.checkChange("silent connections")
+		}
+	})
+}
+
 // The platform's history no longer reaches back to the last change of the root. Relays read
 // the root and try to watch from there over and over.
 func TestLostHistoryCausesNoCrowd(t *testing.T) {
