Tests of roles share how a store treats a process

The fakes of the store in streambalancer's and balancer's tests each had the list of treatments and the wait for an answer. They are a package of the stand-ins now, internal/standin/treatment. No check has changed; TestRelaysOfSlowPlatform plays answers of 1 s instead of 0.8.

--- a/internal/process/balancer/relay_test.go
+++ b/internal/process/balancer/relay_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/wagtailtray/wagtailtray/internal/process/control"
 	"github.com/wagtailtray/wagtailtray/internal/process/member"
+	"github.com/wagtailtray/wagtailtray/internal/standin/treatment"
 	"github.com/wagtailtray/wagtailtray/internal/version/approval"
 	"github.com/wagtailtray/wagtailtray/internal/version/config"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
@@ -27,31 +28,16 @@
 const (
 	// inForceBound is the time within which a version must be in force everywhere.
 	inForceBound = 4 * time.Second
-	// testDelay is the delay of a call to a peer or to the store.
+	// testDelay is the delay of a call to a peer.
 	testDelay = 4 * time.Millisecond
 )
 
-// treatment is how the store treats the calls of a balancer.
-type treatment int
-
-const (
-	served treatment = iota
-	// silent swallows calls and the events of watches that are open.
-	silent
-	// refused answers with platform.ErrUnavailable and ends open watches.
-	refused
-	// slow answers after slowDelay.
-	slow
-)
-
-const slowDelay = 800 * time.Millisecond
-
 // relayStore is the store of a relayFleet. It has one configuration without services.
 type relayStore struct {
 	mu         sync.Mutex
 	root       config.Root
 	changed    chan struct{}
-	treatments map[string]treatment
+	treatments map[string]treatment.Treatment
 	processes  []platform.Object
 	calls      int
 	// revision is that of the store, and oldest the first one from which a watch can start.
@@ -90,7 +76,7 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *relayStore) treat(treatments map[string]treatment) {
+func (s *relayStore) treat(treatments map[string]treatment.Treatment) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.treatments = treatments
@@ -115,7 +101,7 @@
 	return s.calls
 }
 
-func (s *relayStore) state(name string) (config.Root, <-chan struct{}, treatment) {
+func (s *relayStore) state(name string) (config.Root, <-chan struct{}, treatment.Treatment) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.root, s.changed, s.treatments[name]
@@ -135,24 +121,8 @@
 	c.mu.Lock()
 	c.calls++
 	c.mu.Unlock()
-	_, _, t := c.state(c.name)
-	delay := time.After(testDelay)
-	switch t {
-	case silent:
-		delay = nil
-	case slow:
-		delay = time.After(slowDelay)
-	}
-	select {
-	case <-ctx.Done():
-		return config.Root{}, platform.ErrUnavailable
-	case <-delay:
-	}
 	root, _, t := c.state(c.name)
-	if t == served || t == slow {
-		return root, nil
-	}
-	return root, platform.ErrUnavailable
+	return root, t.Answer(ctx, treatment.Current)
 }
 
 func (c relayClient) Get(ctx context.Context, _ platform.Kind, name string) (platform.Object, error) {
@@ -218,9 +188,9 @@
 		_, changed, t := c.state(c.name)
 		rootRevision, _, connections := c.watchState()
 		switch {
-		case t == refused:
+		case t == treatment.Refused:
 			return platform.ErrUnavailable
-		case t == silent, connection != connections:
+		case t == treatment.Silent, connection != connections:
 			<-ctx.Done()
 			return platform.ErrUnavailable
 		case rootRevision > after:
@@ -358,7 +328,7 @@
 // The store turns away all balancers that watch it and serves the others; nobody reads the
 // configuration.
 func TestServedBalancersBecomeRelays(t *testing.T) {
-	for name, how := range map[string]treatment{"silent": silent, "refused": refused} {
+	for name, how := range map[string]treatment.Treatment{"silent": treatment.Silent, "refused": treatment.Refused} {
 		for phase := range 5 {
 			t.Run(fmt.Sprint(name, phase), func(t *testing.T) {
 				runRelayFleet(t, 12, func(f *relayFleet) {
@@ -386,7 +356,7 @@
 // as long as that lasts.
 func TestRelaysOfSlowPlatform(t *testing.T) {
 	runRelayFleet(t, 12, func(f *relayFleet) {
-		f.store.treat(f.treatAll(slow))
+		f.store.treat(f.treatAll(treatment.VerySlow))
 		time.Sleep(10 * time.Second)
 		for range 5 {
 			f.checkChange("slow")
@@ -398,7 +368,7 @@
 func TestNoCrowdAtPlatform(t *testing.T) {
 	const count, period = 40, 20 * time.Second
 	runRelayFleet(t, count, func(f *relayFleet) {
-		f.store.treat(f.treatAll(refused))
+		f.store.treat(f.treatAll(treatment.Refused))
 		time.Sleep(5 * time.Second)
 		before := f.store.callCount()
 		time.Sleep(period)
@@ -458,7 +428,7 @@
 	runRelayFleet(t, 12, func(f *relayFleet) {
 		f.store.write(1000)
 		// Open watches end, and begin anew.
-		f.store.treat(f.treatAll(refused))
+		f.store.treat(f.treatAll(treatment.Refused))
 		time.Sleep(100 * time.Millisecond)
 		f.store.treat(nil)
 		time.Sleep(10 * time.Second)
@@ -472,8 +442,8 @@
 }
 
 // treatAll treats all balancers in one way.
-func (f *relayFleet) treatAll(how treatment) map[string]treatment {
-	all := map[string]treatment{}
+func (f *relayFleet) treatAll(how treatment.Treatment) map[string]treatment.Treatment {
+	all := map[string]treatment.Treatment{}
 	for _, b := range f.balancers {
 		all[b.settings.Name] = how
 	}
@@ -481,8 +451,8 @@
 }
 
 // treatRelays treats the balancers that watch the platform in one way and serves the others.
-func (f *relayFleet) treatRelays(how treatment) map[string]treatment {
-	all := map[string]treatment{}
+func (f *relayFleet) treatRelays(how treatment.Treatment) map[string]treatment.Treatment {
+	all := map[string]treatment.Treatment{}
 	for _, name := range f.relays() {
 		all[name] = how
 	}
--- a/internal/process/streambalancer/keeping_test.go
+++ b/internal/process/streambalancer/keeping_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/wagtailtray/wagtailtray/internal/standin/treatment"
 	"github.com/wagtailtray/wagtailtray/pkg/wire"
 )
 
@@ -31,7 +32,7 @@
 		b.mu.Lock()
 		_, _, loads := f.store.state(storeClient{balancer: i, kind: loadCall})
 		_, _, writes := f.store.state(storeClient{balancer: i, kind: writeCall})
-		if b.steerer.Keeper() && loads == served && writes == served {
+		if b.steerer.Keeper() && loads == treatment.Served && writes == treatment.Served {
 			keepers[b.settings.Domain]++
 		}
 		b.mu.Unlock()
@@ -42,21 +43,21 @@
 // The store goes on serving the watch of the configuration, and turns the watcher away about
 // checkpoints; nobody stores those of its failure domain.
 func TestServedBalancerTakesOverKeepingFromWatcher(t *testing.T) {
-	for name, how := range map[string]treatment{"silent": silent, "refused": refused} {
+	for name, how := range map[string]treatment.Treatment{"silent": treatment.Silent, "refused": treatment.Refused} {
 		for _, calls := range []string{"loads", "writes", "all"} {
 			t.Run(name+" "+calls, func(t *testing.T) {
 				runWatchFleet(t, 9, func(f *watchFleet) {
 					f.sendCheckpoints(5 * time.Second)
 					for _, serve := range [][]int{{3, 4, 5}, {6, 7, 8}, {3, 7, 8}} {
 						turnedAway := f.except(how, serve...)
-						var loads, writes map[int]treatment
+						var loads, writes map[int]treatment.Treatment
 						if calls != "writes" {
 							loads = turnedAway
 						}
 						if calls != "loads" {
 							writes = turnedAway
 						}
-						f.store.treat(map[int]treatment{0: silent, 1: silent, 2: silent})
+						f.store.treat(map[int]treatment.Treatment{0: treatment.Silent, 1: treatment.Silent, 2: treatment.Silent})
 						time.Sleep(3 * time.Second)
 						f.store.treatCheckpoints(loads, writes)
 						f.store.treat(nil)
--- a/internal/process/streambalancer/watch_fleet_test.go
+++ b/internal/process/streambalancer/watch_fleet_test.go
@@ -16,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/wagtailtray/wagtailtray/internal/connection/checkpoint"
+	"github.com/wagtailtray/wagtailtray/internal/standin/treatment"
 	"github.com/wagtailtray/wagtailtray/internal/version/evacuation"
 	"github.com/wagtailtray/wagtailtray/internal/version/routing"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
@@ -26,42 +27,26 @@
 const (
 	// configBound is the time within which balancers must have a new version.
 	configBound = 3 * time.Second
-	// testDelay is the delay of a datagram or of an answer of the store.
+	// testDelay is the delay of a datagram.
 	testDelay = 4 * time.Millisecond
 )
 
-// treatment is how the store treats the calls of a balancer.
-type treatment int
-
-const (
-	served treatment = iota
-	// silent swallows calls, also those that were pending when the silence began.
-	silent
-	// refused answers with platform.ErrUnavailable.
-	refused
-	// replicaOnly is silent except for reads that a replica can answer.
-	replicaOnly
-	// slow serves late, and verySlow later than pings and waits allow at first.
-	slow
-	verySlow
-)
-
 // watchedStore is the store of a watchFleet. Each change adds a version and an evacuation.
 type watchedStore struct {
 	mu         sync.Mutex
 	version    uint64
 	changed    chan struct{}
-	treatments map[int]treatment
+	treatments map[int]treatment.Treatment
 	// evacuationTreatments replaces treatments for the calls about evacuations, if not nil,
 	// loadTreatments for loads of checkpoints, and writeTreatments for their writes.
-	evacuationTreatments, loadTreatments, writeTreatments map[int]treatment
+	evacuationTreatments, loadTreatments, writeTreatments map[int]treatment.Treatment
 	// calls counts all calls, and waits those that wait for a change, by kind.
 	calls int
 	waits map[callKind]int
 	reads map[callKind]int
 }
 
-func (s *watchedStore) treat(treatments map[int]treatment) {
+func (s *watchedStore) treat(treatments map[int]treatment.Treatment) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.treatments = treatments
@@ -69,13 +54,13 @@
 }
 
 // treatCheckpoints treats the loads of checkpoints, their writes or both.
-func (s *watchedStore) treatCheckpoints(loads, writes map[int]treatment) {
+func (s *watchedStore) treatCheckpoints(loads, writes map[int]treatment.Treatment) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.loadTreatments, s.writeTreatments = loads, writes
 }
 
-func (s *watchedStore) treatEvacuations(treatments map[int]treatment) {
+func (s *watchedStore) treatEvacuations(treatments map[int]treatment.Treatment) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.evacuationTreatments = treatments
@@ -113,11 +98,11 @@
 	counts[kind]++
 }
 
-func (s *watchedStore) state(c storeClient) (uint64, <-chan struct{}, treatment) {
+func (s *watchedStore) state(c storeClient) (uint64, <-chan struct{}, treatment.Treatment) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	treatments := s.treatments
-	special := map[callKind]map[int]treatment{
+	special := map[callKind]map[int]treatment.Treatment{
 		evacuationCall: s.evacuationTreatments, loadCall: s.loadTreatments, writeCall: s.writeTreatments,
 	}[c.kind]
 	if special != nil {
@@ -127,29 +112,12 @@
 }
 
 // answer waits until the store answers, and returns its version.
-func (c storeClient) answer(ctx context.Context, ping bool) (uint64, error) {
+func (c storeClient) answer(ctx context.Context, call treatment.Call) (uint64, error) {
 	c.store.mu.Lock()
 	c.store.calls++
 	c.store.mu.Unlock()
 	version, _, t := c.store.state(c)
-	delay := testDelay
-	switch {
-	case t == refused:
-		return 0, platform.ErrUnavailable
-	case t == silent, t == replicaOnly && !ping:
-		<-ctx.Done()
-		return 0, platform.ErrUnavailable
-	case t == slow:
-		delay *= 100
-	case t == verySlow:
-		delay *= 250
-	}
-	select {
-	case <-ctx.Done():
-		return 0, platform.ErrUnavailable
-	case <-time.After(delay):
-		return version, nil
-	}
+	return version, t.Answer(ctx, call)
 }
 
 // wait returns the version after the given one, or 0 if there was none for a while.
@@ -158,12 +126,12 @@
 	defer cancel()
 	hold := time.After(WaitHold)
 	c.store.count(c.store.waits, c.kind)
-	if _, err := c.answer(ctx, false); err != nil {
+	if _, err := c.answer(ctx, treatment.Current); err != nil {
 		return 0, err
 	}
 	for {
 		version, changed, t := c.store.state(c)
-		if t == silent || t == replicaOnly {
+		if t.Swallows() {
 			<-ctx.Done()
 			return 0, platform.ErrUnavailable
 		}
@@ -198,13 +166,13 @@
 )
 
 func (c storeClient) Ping(ctx context.Context) error {
-	_, err := c.answer(ctx, true)
+	_, err := c.answer(ctx, treatment.Any)
 	return err
 }
 
 func (c storeClient) Read(ctx context.Context) (*routing.Table, error) {
 	c.store.count(c.store.reads, c.kind)
-	v, err := c.answer(ctx, false)
+	v, err := c.answer(ctx, treatment.Current)
 	return &routing.Table{Version: v, Revision: v}, err
 }
 
@@ -221,7 +189,7 @@
 
 func (c evacuationClient) Read(ctx context.Context) (evacuation.Snapshot, error) {
 	c.store.count(c.store.reads, c.kind)
-	v, err := c.answer(ctx, false)
+	v, err := c.answer(ctx, treatment.Current)
 	return evacuation.New(v, []string{fmt.Sprint(v)}), err
 }
 
@@ -238,7 +206,7 @@
 
 func (c checkpointClient) Load(ctx context.Context, _ int) (checkpoint.Shard, error) {
 	c.kind = loadCall
-	if _, err := c.answer(ctx, false); err != nil {
+	if _, err := c.answer(ctx, treatment.Current); err != nil {
 		return checkpoint.Shard{}, err
 	}
 	return checkpoint.Shard{}, platform.ErrNotFound
@@ -246,7 +214,7 @@
 
 func (c checkpointClient) Write(ctx context.Context, _ *checkpoint.Shard) error {
 	c.kind = writeCall
-	_, err := c.answer(ctx, false)
+	_, err := c.answer(ctx, treatment.Current)
 	return err
 }
 
@@ -374,7 +342,7 @@
 	version, _, _ := f.store.state(storeClient{})
 	time.Sleep(configBound)
 	for i, b := range f.balancers {
-		if _, _, t := f.store.state(storeClient{balancer: i}); t != served && t != slow {
+		if _, _, t := f.store.state(storeClient{balancer: i}); t != treatment.Served && t != treatment.Slow {
 			continue
 		}
 		b.mu.Lock()
@@ -397,13 +365,13 @@
 }
 
 // except treats all balancers in one way but serves the given ones.
-func (f *watchFleet) except(t treatment, serve ...int) map[int]treatment {
-	all := map[int]treatment{}
+func (f *watchFleet) except(t treatment.Treatment, serve ...int) map[int]treatment.Treatment {
+	all := map[int]treatment.Treatment{}
 	for i := range f.balancers {
 		all[i] = t
 	}
 	for _, i := range serve {
-		all[i] = served
+		all[i] = treatment.Served
 	}
 	return all
 }
--- a/internal/process/streambalancer/watch_roles_test.go
+++ b/internal/process/streambalancer/watch_roles_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/wagtailtray/wagtailtray/internal/standin/treatment"
 )
 
 // evacuationBound is the time within which balancers must know an evacuation.
@@ -14,7 +16,7 @@
 // The store goes on serving the watch of the configuration, and turns away those balancers
 // that also watch the evacuations; nobody reads these.
 func TestServedBalancerTakesOverEvacuationWatch(t *testing.T) {
-	for name, how := range map[string]treatment{"silent": silent, "refused": refused} {
+	for name, how := range map[string]treatment.Treatment{"silent": treatment.Silent, "refused": treatment.Refused} {
 		for _, serve := range [][]int{{2}, {3, 4, 5}, {5}, {4}} {
 			t.Run(fmt.Sprint(name, serve), func(t *testing.T) {
 				runWatchFleet(t, 6, func(f *watchFleet) {
@@ -55,9 +57,9 @@
 func TestOneWatcherInLargeDomains(t *testing.T) {
 	const count, domains = 150, 3
 	runWatchFleet(t, count, func(f *watchFleet) {
-		turnedAway := map[int]treatment{}
+		turnedAway := map[int]treatment.Treatment{}
 		for i := range 2 * domains {
-			turnedAway[i] = silent
+			turnedAway[i] = treatment.Silent
 		}
 		f.store.treat(turnedAway)
 		for range 3 {
@@ -82,7 +84,7 @@
 // version for as long as that lasts.
 func TestWatchOfVerySlowStore(t *testing.T) {
 	runWatchFleet(t, 6, func(f *watchFleet) {
-		f.store.treat(f.except(verySlow))
+		f.store.treat(f.except(treatment.VerySlow))
 		for i := range 4 {
 			f.store.change()
 			version, _, _ := f.store.state(storeClient{})
@@ -102,7 +104,7 @@
 func TestNoCrowdAtStoreForEvacuationWatch(t *testing.T) {
 	const count, period = 45, 20 * time.Second
 	runWatchFleet(t, count, func(f *watchFleet) {
-		f.store.treatEvacuations(f.except(silent))
+		f.store.treatEvacuations(f.except(treatment.Silent))
 		before := f.store.callCount()
 		time.Sleep(period)
 		if calls, limit := f.store.callCount()-before, count*int(period/(1500*time.Millisecond)); calls > limit {
@@ -123,7 +125,7 @@
 					for i := range 3 {
 						f.isolated.Store(peerAddress(i), true)
 					}
-					f.store.treat(f.except(silent, serve...))
+					f.store.treat(f.except(treatment.Silent, serve...))
 					time.Sleep(10 * time.Millisecond)
 					f.checkChange("cut off")
 				})
@@ -141,7 +143,7 @@
 				runWatchFleet(t, 9, func(f *watchFleet) {
 					f.checkChange("before")
 					time.Sleep(time.Duration(phase) * 110 * time.Millisecond)
-					f.store.treat(f.except(replicaOnly, serve...))
+					f.store.treat(f.except(treatment.ReplicaOnly, serve...))
 					time.Sleep(10 * time.Millisecond)
 					f.checkChange("after the disruption")
 				})
--- a/internal/process/streambalancer/watch_test.go
+++ b/internal/process/streambalancer/watch_test.go
@@ -6,13 +6,15 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/wagtailtray/wagtailtray/internal/standin/treatment"
 )
 
 // The store turns away the balancers that watch it and serves one other; nobody reads the
 // configuration or the evacuations.
 func TestServedBalancerTakesOverWatch(t *testing.T) {
 	const count = 9
-	turnedAway := map[string]treatment{"silent": silent, "refused": refused}
+	turnedAway := map[string]treatment.Treatment{"silent": treatment.Silent, "refused": treatment.Refused}
 	for name, how := range turnedAway {
 		for _, serve := range [][]int{{3, 4, 5}, {6, 7, 8}, {5}, {6}, {0}, {8}} {
 			t.Run(fmt.Sprint(name, serve), func(t *testing.T) {
@@ -36,7 +38,7 @@
 
 // The store turns away one balancer after the other; the one that took over is next.
 func TestWatchMovesByTurns(t *testing.T) {
-	for name, how := range map[string]treatment{"silent": silent, "refused": refused} {
+	for name, how := range map[string]treatment.Treatment{"silent": treatment.Silent, "refused": treatment.Refused} {
 		t.Run(name, func(t *testing.T) {
 			runWatchFleet(t, 6, func(f *watchFleet) {
 				for i := range 12 {
@@ -52,7 +54,7 @@
 // Replicas go on answering balancers that the store is silent to; these go on watching.
 func TestAnswersOfReplicasStartNoWatch(t *testing.T) {
 	runWatchFleet(t, 6, func(f *watchFleet) {
-		f.store.treat(f.except(replicaOnly, 5))
+		f.store.treat(f.except(treatment.ReplicaOnly, 5))
 		for range 4 {
 			time.Sleep(5 * time.Second)
 			f.checkChange("replicas only")
@@ -64,7 +66,7 @@
 // other.
 func TestWatchOfSlowStoreStays(t *testing.T) {
 	runWatchFleet(t, 6, func(f *watchFleet) {
-		f.store.treat(map[int]treatment{0: slow, 1: slow, 2: slow, 3: slow, 4: slow, 5: slow})
+		f.store.treat(map[int]treatment.Treatment{0: treatment.Slow, 1: treatment.Slow, 2: treatment.Slow, 3: treatment.Slow, 4: treatment.Slow, 5: treatment.Slow})
 		for i := range 5 {
 			f.checkChange("slow")
 			for j, b := range f.balancers {
@@ -84,7 +86,7 @@
 	const count, period = 45, 20 * time.Second
 	for _, c := range []struct {
 		name     string
-		served   int
+		serving  int
 		maxCalls int
 	}{
 		// Three balancers ping with delays below 0.8 s, the others below 2 s.
@@ -95,9 +97,9 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			runWatchFleet(t, count, func(f *watchFleet) {
-				treatments := f.except(silent)
-				for i := count - c.served; i < count; i++ {
-					treatments[i] = served
+				treatments := f.except(treatment.Silent)
+				for i := count - c.serving; i < count; i++ {
+					treatments[i] = treatment.Served
 				}
 				f.store.treat(treatments)
 				before := f.store.callCount()
