--- a/internal/process/balancer/former.go
+++ b/internal/process/balancer/former.go
@@ -36,7 +36,7 @@
 	b.table.Merge(b.deps.Clock.Now(), b.self)
 	self := b.self
 	b.mu.Unlock()
-	b.deps.Log.Info().Str("event", "met").Stringer("control", to).Msg("a balancer that was removed answers again")
+	b.deps.Log.Info().Str("event", "rejoined").Stringer("control", to).Msg("a balancer that was removed answers again")
 	b.queueUpdate(update{members: []member.Member{self}})
 	if b.syncWith(ctx, to) != nil {
 		b.count.syncFailed.Inc(1)
--- a/internal/process/balancer/relay_test.go
+++ b/internal/process/balancer/relay_test.go
@@ -325,7 +325,7 @@
 	}
 }
 
-// The store turns away all balancers that watch it and serves the others; nobody reads the
+// The store fails for all balancers that watch it and serves the others; nobody reads the
 // configuration.
 func TestServedBalancersBecomeRelays(t *testing.T) {
 	for name, how := range map[string]treatment.Treatment{"silent": treatment.Silent, "refused": treatment.Refused} {
@@ -335,7 +335,7 @@
 					time.Sleep(time.Duration(phase) * 290 * time.Millisecond)
 					f.store.treat(f.treatRelays(how))
 					time.Sleep(10 * time.Millisecond)
-					f.checkChange("turned away")
+					f.checkChange("partial outage")
 					time.Sleep(5 * time.Second)
 					f.checkChange("for a while")
 					f.store.treat(f.treatRelays(how))
--- a/internal/process/streambalancer/keeping_test.go
+++ b/internal/process/streambalancer/keeping_test.go
@@ -40,7 +40,7 @@
 	return keepers
 }
 
-// The store goes on serving the watch of the configuration, and turns the watcher away about
+// The store goes on serving the watch of the configuration, and fails for the watcher about
 // checkpoints; nobody stores those of its failure domain.
 func TestServedBalancerTakesOverKeepingFromWatcher(t *testing.T) {
 	for name, how := range map[string]treatment.Treatment{"silent": treatment.Silent, "refused": treatment.Refused} {
@@ -49,13 +49,13 @@
 				runWatchFleet(t, 9, func(f *watchFleet) {
 					f.sendCheckpoints(5 * time.Second)
 					for _, serve := range [][]int{{3, 4, 5}, {6, 7, 8}, {3, 7, 8}} {
-						turnedAway := f.except(how, serve...)
+						affected := f.except(how, serve...)
 						var loads, writes map[int]treatment.Treatment
 						if calls != "writes" {
-							loads = turnedAway
+							loads = affected
 						}
 						if calls != "loads" {
-							writes = turnedAway
+							writes = affected
 						}
 						f.store.treat(map[int]treatment.Treatment{0: treatment.Silent, 1: treatment.Silent, 2: treatment.Silent})
 						time.Sleep(3 * time.Second)
--- a/internal/process/streambalancer/watch_roles_test.go
+++ b/internal/process/streambalancer/watch_roles_test.go
@@ -13,7 +13,7 @@
 // evacuationBound is the time within which balancers must know an evacuation.
 const evacuationBound = 5 * time.Second
 
-// The store goes on serving the watch of the configuration, and turns away those balancers
+// The store goes on serving the watch of the configuration, and fails for those balancers
 // that also watch the evacuations; nobody reads these.
 func TestServedBalancerTakesOverEvacuationWatch(t *testing.T) {
 	for name, how := range map[string]treatment.Treatment{"silent": treatment.Silent, "refused": treatment.Refused} {
@@ -24,7 +24,7 @@
 						time.Sleep(time.Duration(i) * 370 * time.Millisecond)
 						f.store.treatEvacuations(f.except(how, serve...))
 						time.Sleep(10 * time.Millisecond)
-						f.checkEvacuation("turned away")
+						f.checkEvacuation("partial outage")
 						time.Sleep(5 * time.Second)
 						f.checkEvacuation("for a while")
 						f.store.treatEvacuations(nil)
@@ -52,16 +52,16 @@
 	}
 }
 
-// The store turns away the first ranks of large failure domains. Balancers that are no
+// The store fails for the first ranks of large failure domains. Balancers that are no
 // neighbours of the one that takes over do not hear of it, and all of them watch.
 func TestOneWatcherInLargeDomains(t *testing.T) {
 	const count, domains = 150, 3
 	runWatchFleet(t, count, func(f *watchFleet) {
-		turnedAway := map[int]treatment.Treatment{}
+		affected := map[int]treatment.Treatment{}
 		for i := range 2 * domains {
-			turnedAway[i] = treatment.Silent
+			affected[i] = treatment.Silent
 		}
-		f.store.treat(turnedAway)
+		f.store.treat(affected)
 		for range 3 {
 			time.Sleep(4 * time.Second)
 			watchers := 0
@@ -76,7 +76,7 @@
 				t.Errorf("%d balancers watch in %d failure domains", watchers, domains)
 			}
 		}
-		f.checkChange("turned away")
+		f.checkChange("partial outage")
 	})
 }
 
@@ -113,7 +113,7 @@
 	})
 }
 
-// All balancers that watch the store are cut off from everything, and the store turns away
+// All balancers that watch the store are cut off from everything, and the store fails for
 // the next ones; the last balancers, which it serves, read a version too late.
 func TestWatchersCutOffAreReplaced(t *testing.T) {
 	const count = 54
--- a/internal/process/streambalancer/watch_test.go
+++ b/internal/process/streambalancer/watch_test.go
@@ -10,12 +10,12 @@
 	"github.com/wagtailtray/wagtailtray/internal/standin/treatment"
 )
 
-// The store turns away the balancers that watch it and serves one other; nobody reads the
+// The store fails for the balancers that watch it and serves one other; nobody reads the
 // configuration or the evacuations.
 func TestServedBalancerTakesOverWatch(t *testing.T) {
 	const count = 9
-	turnedAway := map[string]treatment.Treatment{"silent": treatment.Silent, "refused": treatment.Refused}
-	for name, how := range turnedAway {
+	affected := map[string]treatment.Treatment{"silent": treatment.Silent, "refused": treatment.Refused}
+	for name, how := range affected {
 		for _, serve := range [][]int{{3, 4, 5}, {6, 7, 8}, {5}, {6}, {0}, {8}} {
 			t.Run(fmt.Sprint(name, serve), func(t *testing.T) {
 				runWatchFleet(t, count, func(f *watchFleet) {
@@ -24,7 +24,7 @@
 						time.Sleep(time.Duration(i) * 370 * time.Millisecond)
 						f.store.treat(f.except(how, serve...))
 						time.Sleep(10 * time.Millisecond)
-						f.checkChange("turned away")
+						f.checkChange("partial outage")
 						time.Sleep(5 * time.Second)
 						f.checkChange("for a while")
 						f.store.treat(nil)
@@ -36,7 +36,7 @@
 	}
 }
 
-// The store turns away one balancer after the other; the one that took over is next.
+// The store fails for one balancer after the other; the one that took over is next.
 func TestWatchMovesByTurns(t *testing.T) {
 	for name, how := range map[string]treatment.Treatment{"silent": treatment.Silent, "refused": treatment.Refused} {
 		t.Run(name, func(t *testing.T) {
@@ -91,7 +91,7 @@
 	}{
 		// Three balancers ping with delays below 0.8 s, the others below 2 s.
 		{"silent to all", 0, count * int(period/(1500*time.Millisecond))},
-		// Those that are turned away ping; the next ones take turns, and watch.
+		// Those for which it fails ping; the next ones take turns, and watch.
 		{"silent to those that watch", count - 3, 150},
 		{"silent to most", 15, 500},
 	} {
--- a/internal/standin/treatment/treatment.go
+++ b/internal/standin/treatment/treatment.go
@@ -1,5 +1,5 @@
 // Package treatment says how a fake of the platform's store treats the calls of one process,
-// in tests without a network: the store may serve some processes and turn others away.
+// in tests without a network: the store may serve some processes and fail for others.
 //
 // # Usage
 //
