--- a/internal/process/balancer/balancer.go
+++ b/internal/process/balancer/balancer.go
@@ -7,7 +7,8 @@
 // structures: a snapshot of the targets of each service, and the hints, a
 // soft-state cache of flow owners. Its control path synchronizes the
 // configuration and the members with a few neighbours and replaces the
-// snapshot.
+// snapshot. Two balancers of each failure domain that the platform answers, its
+// relays, watch the configuration there (relay.go); member.Relay decides which.
 //
 // Lifetimes, from short to long: a worker's buffers are reused for each
 // datagram; an edge (the socket of one service) lives as long as the service
--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -10,7 +10,9 @@
 //   - the parcel socket exchanges parcels with agents and other balancers;
 //   - a TCP listener on the same port serves the routing table to other balancers;
 //   - one balancer of each failure domain watches the configuration in the platform and
-//     notifies the others;
+//     notifies the others (watch.go). It also watches the evacuations and stores checkpoints,
+//     or announces that the platform does not answer it, and another one does that
+//     (duties.go). Each of these roles rests on answers of the platform;
 //   - two balancers of each failure domain are its relays: they send summaries of its targets
 //     to other failure domains and distribute the summaries that they receive.
 //
