A failed read of the configuration tells the peer, its progress and the lag

The logs of the incident could not tell whether the peer, the link or the reader was slow, nor since when a balancer knew of the version that it lacked. The line of a failed read now has the peer, the bytes and the time of the first one, the latest version known and for how long; the line of a version in force for how long it was known; gauges for both.

--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -153,6 +153,8 @@
 	relay       relayState
 	// settled reports whether this balancer knows all targets that the others know.
 	settled bool
+	// lag tracks the versions of the configuration that peers hold and this balancer does not.
+	lag lag
 	// watching reports whether this balancer watches the platform and was answered within the
 	// lease, and watchingSince since when. answeredAt is the time of the last answer, and answerTime how long the platform
 	// takes for one; zero if it is not slow.
--- a/internal/process/streambalancer/config.go
+++ b/internal/process/streambalancer/config.go
@@ -178,7 +178,9 @@
 // applyTable activates a routing table and notifies the neighbours.
 func (b *Balancer) applyTable(t *routing.Table, err error, from string) bool {
 	if err != nil {
-		b.deps.Log.Warn().Str("event", "noconfiguration").Str("from", from).Err(err).Msg("reading the configuration failed")
+		latest, age := b.behind()
+		b.deps.Log.Warn().Str("event", "noconfiguration").Str("from", from).Uint64("latest", latest).Int64("age", int64(age)).
+			Err(err).Msg("reading the configuration failed")
 		return false
 	}
 	b.mu.Lock()
@@ -187,11 +189,28 @@
 	if !b.steerer.SetTable(now, t) {
 		return true
 	}
+	age := b.lag.Age(now)
+	b.lag.Activate(t.Version)
 	b.deps.Log.Info().Str("event", "version").Uint64("version", t.Version).Uint64("revision", t.Revision).
-		Int("listeners", len(t.Listeners)).Str("from", from).Msg("configuration in force")
+		Int("listeners", len(t.Listeners)).Str("from", from).Int64("age", int64(age)).Msg("configuration in force")
 	for _, mistake := range t.Ignored {
 		b.deps.Log.Warn().Str("event", "ignored").Uint64("version", t.Version).Str("mistake", mistake).Send()
 	}
 	b.broadcastNews(now)
 	return true
 }
+
+// behind returns the latest version that is known and not in force, and for how long one has
+// been known.
+func (b *Balancer) behind() (uint64, clock.Millis) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lag.Latest(), b.lag.Age(b.deps.Clock.Now())
+}
+
+// reportVersion reports the version in force and since when a later one is known. The caller
+// holds the lock.
+func (b *Balancer) reportVersion(now clock.Millis) {
+	b.deps.Scope.Gauge("version").Update(float64(b.tableVersion()))
+	b.deps.Scope.Gauge("version_lag_ms").Update(float64(b.lag.Age(now)))
+}
--- a/internal/process/streambalancer/news.go
+++ b/internal/process/streambalancer/news.go
@@ -237,7 +237,8 @@
 		b.handleWatch(now, before.watching, after.watching)
 		b.handleDuties(now)
 	}
-	if n.Version > b.tableVersion() {
+	if inForce := b.tableVersion(); n.Version > inForce {
+		b.lag.Hear(now, n.Version, inForce)
 		b.wakeConfig()
 	}
 }
--- a/internal/process/streambalancer/table_server.go
+++ b/internal/process/streambalancer/table_server.go
@@ -4,10 +4,12 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"log"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -88,7 +90,8 @@
 	return t, nil
 }
 
-// fetchTable gets a version later than the given one from a peer.
+// fetchTable gets a version later than the given one from a peer. An error tells how far it
+// got.
 func fetchTable(ctx context.Context, from netip.AddrPort, above uint64, timeout time.Duration) (*routing.Table, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -96,13 +99,40 @@
 	if err != nil {
 		return nil, errs.Wrap(err)
 	}
-	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(conn), jsonrpc2.HandlerWithError(
+	counted := &countingConn{Conn: conn, openedAt: time.Now()}
+	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(counted), jsonrpc2.HandlerWithError(
 		func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) { return nil, nil },
 	), silentLogger)
 	defer func() { _ = rpc.Close() }()
 	t := &routing.Table{}
 	if err := rpc.Call(ctx, methodTable, tableRequest{Above: above}, t); err != nil {
-		return nil, errs.Wrap(err)
+		return nil, fmt.Errorf("from %s, %s: %w", from, counted.progress(), err)
 	}
 	return t, t.Check()
 }
+
+// countingConn counts what it reads.
+type countingConn struct {
+	net.Conn
+	openedAt time.Time
+	// bytes is the number of bytes read, and firstByte how long after openedAt the first one
+	// came, in nanoseconds.
+	bytes     atomic.Int64
+	firstByte atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *countingConn) Read(buf []byte) (int, error) {
+	n, err := c.Conn.Read(buf)
+	if n > 0 {
+		c.firstByte.CompareAndSwap(0, int64(time.Since(c.openedAt)))
+		c.bytes.Add(int64(n))
+	}
+	return n, err
+}
+
+// progress tells how much has been read, for logs.
+func (c *countingConn) progress() string {
+	return fmt.Sprintf("%d bytes in %d ms, the first after %d ms", c.bytes.Load(),
+		time.Since(c.openedAt).Milliseconds(), time.Duration(c.firstByte.Load()).Milliseconds())
+}
--- a/internal/process/streambalancer/tick.go
+++ b/internal/process/streambalancer/tick.go
@@ -42,6 +42,7 @@
 	b.sendDueSummaries(now)
 	b.sendNotices(now)
 	b.updateRotation(now)
+	b.reportVersion(now)
 	if b.traffic.LogIfDue(now, false) {
 		b.reportTargets(now)
 	}
