A routing table knows its listeners by their encoding; history keeps only what versions replace

Before a change can cost what it changes, two tables must be compared without going through the listeners one by one: the entries are sorted by the hash of their encoding. The history of services recorded all listeners twice for each version, under the balancer's lock; it now records those that a version replaces, and the presence of classes goes with its service instead of with each version.

No change of checks in tests, only the type of the list.

--- a/internal/connection/stream/overload_test.go
+++ b/internal/connection/stream/overload_test.go
@@ -84,7 +84,7 @@
 func newLoadedFleet(t *testing.T, balancers int, classes bool, domains ...string) *loadedFleet {
 	f := &loadedFleet{t: t, random: rand.New(rand.NewPCG(1, 1)), now: testNow}
 	table := newTestTable(t)
-	table.Listeners = []routing.Listener{
+	table.Listeners = []*routing.Listener{
 		{Name: "u", Address: urgentListener, Shares: table.Listeners[0].Shares},
 		{Name: "o", Address: otherListener, Shares: table.Listeners[0].Shares},
 	}
--- a/internal/connection/stream/queue_test.go
+++ b/internal/connection/stream/queue_test.go
@@ -29,7 +29,7 @@
 
 func newTestTable(t testing.TB) *routing.Table {
 	t.Helper()
-	table := &routing.Table{Version: 1, Listeners: []routing.Listener{
+	table := &routing.Table{Version: 1, Listeners: []*routing.Listener{
 		{Name: "l", Address: testListener, Shares: []routing.Share{{Service: "one", Weight: 1}}},
 	}}
 	if err := table.Check(); err != nil {
--- a/internal/connection/stream/retransmission_test.go
+++ b/internal/connection/stream/retransmission_test.go
@@ -35,7 +35,7 @@
 	p.version++
 	table := &routing.Table{Version: p.version}
 	if service != "" {
-		table.Listeners = []routing.Listener{{Name: "l", Address: testListener, Shares: []routing.Share{{Service: service, Weight: 1}}}}
+		table.Listeners = []*routing.Listener{{Name: "l", Address: testListener, Shares: []routing.Share{{Service: service, Weight: 1}}}}
 	}
 	if err := table.Check(); err != nil {
 		p.t.Fatal(err)
--- a/internal/connection/stream/search_test.go
+++ b/internal/connection/stream/search_test.go
@@ -18,7 +18,7 @@
 func newSearchingSteerer(t *testing.T, local, remote int) (*Steerer, []byte) {
 	t.Helper()
 	s := NewSteerer(0, Settings{Domain: "a", MaxFlows: 100, FlowTTL: testFlowTTL})
-	table := &routing.Table{Version: 1, Listeners: []routing.Listener{
+	table := &routing.Table{Version: 1, Listeners: []*routing.Listener{
 		{Name: "l", Address: testListener, Shares: []routing.Share{{Service: "one", Weight: 1}}},
 	}}
 	if err := table.Check(); err != nil {
--- a/internal/connection/stream/steer.go
+++ b/internal/connection/stream/steer.go
@@ -136,13 +136,33 @@
 	if s.table != nil && t.Version <= s.table.Version {
 		return false
 	}
-	s.table = t
-	clear(s.presence) // its services may be gone
-	s.history.SetCurrent(now, t)
+	return s.Activate(now, routing.Compare(s.table, t))
+}
+
+// Activate is SetTable with the comparison already made, so that its cost grows with the
+// changes only.
+func (s *Steerer) Activate(now clock.Millis, c routing.Changes) bool {
+	if c.From != s.table {
+		return s.SetTable(now, c.To)
+	}
+	s.table = c.To
+	s.removePresence(c)
+	s.history.Activate(now, c)
 	s.retryQueued(now)
 	return true
 }
 
+// removePresence removes the presence of services to which no listener routes any more.
+func (s *Steerer) removePresence(c routing.Changes) {
+	for _, l := range c.Replaced {
+		for _, share := range l.Shares {
+			if !c.To.Routes(share.Service) {
+				delete(s.presence, share.Service)
+			}
+		}
+	}
+}
+
 // Table returns the active routing table, or nil.
 func (s *Steerer) Table() *routing.Table {
 	return s.table
--- a/internal/connection/stream/world_test.go
+++ b/internal/connection/stream/world_test.go
@@ -192,7 +192,7 @@
 var testListener = netip.MustParseAddrPort("198.18.0.1:443")
 
 func (sim *simulation) setTable(version uint64, service string) {
-	t := &routing.Table{Version: version, Listeners: []routing.Listener{
+	t := &routing.Table{Version: version, Listeners: []*routing.Listener{
 		{Name: "l", Address: testListener, Shares: []routing.Share{{Service: service, Weight: 1}}},
 	}}
 	if err := t.Check(); err != nil {
--- a/internal/process/streambalancer/sim_test.go
+++ b/internal/process/streambalancer/sim_test.go
@@ -241,7 +241,7 @@
 // failure domain have a small share of a core.
 func newSimFleet(t testing.TB, size fleetSize, from float64, start func(domain int, fraction float64) float64) *simFleet {
 	f := &simFleet{t: t, random: rand.New(rand.NewPCG(1, 3)), byAddress: map[netip.AddrPort]*simProcess{}, measureFrom: from}
-	table := &routing.Table{Version: 1, Listeners: []routing.Listener{{
+	table := &routing.Table{Version: 1, Listeners: []*routing.Listener{{
 		Name: "l", Address: netip.MustParseAddrPort("198.18.0.1:443"),
 		Shares: []routing.Share{{Service: "one", Weight: 1}},
 	}}}
--- a/internal/process/streambalancer/slow_link_test.go
+++ b/internal/process/streambalancer/slow_link_test.go
@@ -85,7 +85,7 @@
 		if i < changed {
 			limit += clock.Millis(version)
 		}
-		table.Listeners = append(table.Listeners, routing.Listener{
+		table.Listeners = append(table.Listeners, &routing.Listener{
 			Name:    fmt.Sprintf("route-%05d", i),
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)}), 443),
 			Shares:  []routing.Share{{Service: fmt.Sprintf("service-%02d", i%12), Weight: 1}},
--- a/internal/version/routing/class.go
+++ b/internal/version/routing/class.go
@@ -10,6 +10,9 @@
 // MaxPriority is the largest value of Class.Priority.
 const MaxPriority = 15
 
+// maxClassTime bounds the times of a class.
+const maxClassTime = 24 * clock.Hour
+
 // Class describes the requests that callers send over a listener's flows. It takes effect
 // only under load, where it decides whose requests are served first.
 type Class struct {
@@ -30,6 +33,8 @@
 		return fmt.Errorf("%w: priority %d is not within 0 and %d", ErrClass, c.Priority, MaxPriority)
 	case c.Objective < 0 || c.Limit < 0:
 		return fmt.Errorf("%w: negative objective %d or limit %d", ErrClass, c.Objective, c.Limit)
+	case c.Objective > maxClassTime || c.Limit > maxClassTime:
+		return fmt.Errorf("%w: objective %d or limit %d beyond a day", ErrClass, c.Objective, c.Limit)
 	case c.Limit > 0 && c.Objective > c.Limit:
 		return fmt.Errorf("%w: objective %d is beyond the limit %d", ErrClass, c.Objective, c.Limit)
 	}
--- a/internal/version/routing/routing.go
+++ b/internal/version/routing/routing.go
@@ -20,7 +20,7 @@
 import (
 	"fmt"
 	"net/netip"
-	"time"
+	"slices"
 
 	"github.com/zeebo/errs"
 	"github.com/zeebo/xxh3"
@@ -67,7 +67,7 @@
 	// Revision is the platform's revision of the object from which the table was
 	// read; a watch resumes after it.
 	Revision    uint64       `json:"revision"`
-	Listeners   []Listener   `json:"listeners"`
+	Listeners   []*Listener  `json:"listeners"`
 	IdleTimeout clock.Millis `json:"idle"`
 	// Services lists the services that have settings besides their name.
 	Services []Service `json:"services,omitempty"`
@@ -77,32 +77,90 @@
 	byAddress    map[netip.AddrPort]*Listener
 	warmingRates map[string]int
 	minObjective clock.Millis
+	// services holds the services to which listeners route.
+	services map[string]bool
+	// entries are the listeners by the hash of their encoding.
+	entries []entry
 }
 
-// Check returns the first error in a table and builds its index.
+// MaxListeners bounds a table: the addresses planned for in two years ten times over.
+const MaxListeners = 12_000
+
+// Check returns the first error in a table and builds its index. Of listeners with the same
+// address the last one counts.
 func (t *Table) Check() error {
+	if err := t.checkRules(); err != nil {
+		return err
+	}
+	return t.buildEntries()
+}
+
+func (t *Table) checkRules() error {
 	if t.Version == 0 {
 		return fmt.Errorf("%w: no version", ErrInvalid)
 	}
+	if len(t.Listeners) > MaxListeners {
+		return fmt.Errorf("%w: %d listeners, more than %d", ErrInvalid, len(t.Listeners), MaxListeners)
+	}
+	if err := t.indexListeners(); err != nil {
+		return err
+	}
+	t.warmingRates = make(map[string]int, len(t.Services))
+	for _, s := range t.Services {
+		if s.WarmingRate < 0 {
+			return fmt.Errorf("%w: service %q accepts %d openings per second", ErrInvalid, s.Name, s.WarmingRate)
+		}
+		t.warmingRates[s.Name] = s.WarmingRate
+	}
+	return nil
+}
+
+func (t *Table) indexListeners() error {
 	t.byAddress = make(map[netip.AddrPort]*Listener, len(t.Listeners))
-	for i := range t.Listeners {
-		l := &t.Listeners[i]
+	t.services = map[string]bool{}
+	for _, l := range t.Listeners {
 		if err := l.check(); err != nil {
 			return err
 		}
 		t.byAddress[l.Address] = l
+	}
+	t.dropShadowed()
+	for _, l := range t.Listeners {
+		for _, s := range l.Shares {
+			t.services[s.Service] = true
+		}
 		if c := l.Class; c != nil && c.Objective > 0 && (t.minObjective == 0 || c.Objective < t.minObjective) {
 			t.minObjective = c.Objective
 		}
 	}
-	t.warmingRates = make(map[string]int, len(t.Services))
-	for _, s := range t.Services {
-		if s.WarmingRate < 0 {
-			return fmt.Errorf("%w: service %q accepts %d openings per second", ErrInvalid, s.Name, s.WarmingRate)
+	return nil
+}
+
+// dropShadowed removes listeners that a later one with the same address replaces.
+func (t *Table) dropShadowed() {
+	if len(t.byAddress) == len(t.Listeners) {
+		return
+	}
+	t.Listeners = slices.DeleteFunc(slices.Clone(t.Listeners), func(l *Listener) bool {
+		shadowed := t.byAddress[l.Address] != l
+		if shadowed {
+			t.Ignore(fmt.Sprintf("listener %q: another one has the address %s", l.Name, l.Address))
 		}
-		t.warmingRates[s.Name] = s.WarmingRate
+		return shadowed
+	})
+}
+
+// maxIgnored bounds the mistakes that a table lists.
+const maxIgnored = 50
+
+// Ignore records that something was left out of the table because it is invalid.
+func (t *Table) Ignore(mistake string) {
+	switch {
+	case len(t.Ignored) < maxIgnored:
+		t.Ignored = append(t.Ignored, mistake)
+	case len(t.Ignored) == maxIgnored:
+		t.Ignored = append(t.Ignored, "and more")
 	}
-	return nil
 }
 
 // WarmingRate returns how many openings per second a target of a service accepts during
@@ -120,6 +178,9 @@
 }
 
 func (l *Listener) check() error {
+	if l == nil {
+		return fmt.Errorf("%w: an empty listener", ErrInvalid)
+	}
 	if !l.Address.IsValid() {
 		return fmt.Errorf("%w: listener %q has no address", ErrInvalid, l.Name)
 	}
@@ -175,71 +236,3 @@
 	}
 	return l.Shares[0].Service
 }
-
-// History records the services to which each listener has routed, for as long as a
-// flow may stay open. It is local to one process.
-//
-// A new version may change a listener's service while flows are open. If the owner of
-// such a flow is unknown, it is searched for in the listener's former services as well.
-type History struct {
-	// FlowTTL is how long a flow may stay open.
-	FlowTTL  clock.Millis
-	current  *Table
-	lastUsed map[netip.AddrPort]map[string]clock.Millis
-}
-
-// NewHistory returns an empty history.
-func NewHistory(flowTTL time.Duration) *History {
-	return &History{FlowTTL: clock.FromDuration(flowTTL), lastUsed: map[netip.AddrPort]map[string]clock.Millis{}}
-}
-
-// SetCurrent records that a version takes effect now. The previous version was in
-// effect until this moment.
-func (h *History) SetCurrent(now clock.Millis, t *Table) {
-	if h.current != nil {
-		h.markUsed(now, h.current)
-	}
-	h.current = t
-	h.markUsed(now, t)
-	h.removeExpired(now, t)
-}
-
-func (h *History) markUsed(now clock.Millis, t *Table) {
-	for i := range t.Listeners {
-		l := &t.Listeners[i]
-		services := h.lastUsed[l.Address]
-		if services == nil {
-			services = map[string]clock.Millis{}
-			h.lastUsed[l.Address] = services
-		}
-		for _, s := range l.Shares {
-			if s.Weight > 0 {
-				services[s.Service] = now
-			}
-		}
-	}
-}
-
-// removeExpired removes the services at which no open flow can have been opened. Those
-// of the current version were marked used just now and stay.
-func (h *History) removeExpired(now clock.Millis, t *Table) {
-	for a, services := range h.lastUsed {
-		if _, present := t.byAddress[a]; present && len(services) == 1 {
-			continue
-		}
-		for name, last := range services {
-			if now.Sub(last) > h.FlowTTL {
-				delete(services, name)
-			}
-		}
-		if len(services) == 0 {
-			delete(h.lastUsed, a)
-		}
-	}
-}
-
-// Allows reports whether an open flow of the listener may belong to the service.
-func (h *History) Allows(a netip.AddrPort, service string) bool {
-	_, ok := h.lastUsed[a][service]
-	return ok
-}
--- a/pkg/wire/doc.go
+++ b/pkg/wire/doc.go
@@ -1,5 +1,5 @@
 // Package wire holds the types that balancers and agents exchange in
-// datagrams. They are generated from envelope.proto; the generated code is
+// datagrams. They are generated from the schemas beside them; the generated code is
 // committed, so that a build needs no generator.
 //
 // # Usage
@@ -9,7 +9,7 @@
 // one keeps references into the buffer that it reads, so the buffer must stay
 // untouched for as long as the message is used.
 //
-// To change the schema, edit envelope.proto and run
+// To change the schema, edit the schema and run
 //
 //	go generate ./pkg/wire
 //
