Balancers read what has changed of a table, and keep what they get

What callers saw: requests were handled by a version that ten seconds before had been replaced by an acknowledged one (CONFIG), where a table had grown to some 4,200 routes.

Cause: a fixed time for work that grows, with no progress kept. A balancer read each version whole, as JSON, within 1.5 s (0.4 s at its start) for connecting, transfer and decoding, and began anew with another peer after that. On a VM with 0.045 of a core and 10 Mbit/s, callers' packets beside it, it never ended.

Why this suffices: a reader names the listeners that it has by the digests of 64 parts and gets the hashes of the parts that differ, then the listeners that it lacks. What has arrived is good for any later attempt and version; the time bounds a stall, not the transfer; a peer is avoided only after an attempt without progress. A digest of the whole must match, else the table is read whole as before, as from peers of the last build.

Ruled out: differences from a named version (bases that a source has skipped are unknown to it, and need the whole table again); pieces of the encoded whole (a single change costs the whole).

--- a/internal/connection/stream/steer.go
+++ b/internal/connection/stream/steer.go
@@ -133,17 +133,17 @@
 // SetTable activates a routing table, unless its version is not newer than the
 // active one. It reports whether it did.
 func (s *Steerer) SetTable(now clock.Millis, t *routing.Table) bool {
-	if s.table != nil && t.Version <= s.table.Version {
-		return false
-	}
 	return s.Activate(now, routing.Compare(s.table, t))
 }
 
 // Activate is SetTable with the comparison already made, so that its cost grows with the
 // changes only.
 func (s *Steerer) Activate(now clock.Millis, c routing.Changes) bool {
+	if s.table != nil && c.To.Version <= s.table.Version {
+		return false
+	}
 	if c.From != s.table {
-		return s.SetTable(now, c.To)
+		c = routing.Compare(s.table, c.To)
 	}
 	s.table = c.To
 	s.removePresence(c)
--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -52,6 +52,7 @@
 	"github.com/wagtailtray/wagtailtray/internal/process/rotation"
 	"github.com/wagtailtray/wagtailtray/internal/process/tasks"
 	"github.com/wagtailtray/wagtailtray/internal/request/segment"
+	"github.com/wagtailtray/wagtailtray/internal/version/replication"
 	"github.com/wagtailtray/wagtailtray/internal/version/routing"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
 	"github.com/wagtailtray/wagtailtray/pkg/wire"
@@ -196,8 +197,11 @@
 	evacuationWake chan struct{}
 	// registerAgain makes the registration check this balancer's entry.
 	registerAgain chan struct{}
-	// fetchTable gets a version later than the given one from a peer.
-	fetchTable func(ctx context.Context, from netip.AddrPort, above uint64, timeout time.Duration) (*routing.Table, error)
+	// fetchTable gets a version later than the given one from a peer. It gives up after stall
+	// without progress.
+	fetchTable func(ctx context.Context, from netip.AddrPort, above uint64, stall time.Duration) (*routing.Table, error)
+	// transfer holds what has arrived of a version; only syncConfig uses it.
+	transfer   replication.Transfer
 	cancel     context.CancelFunc
 	background tasks.Group
 }
@@ -252,8 +256,10 @@
 		malformed: decisions.NewMalformedRecorder(deps.Log, deps.Scope), unsent: deps.Scope.Counter("unsent"),
 		traffic:   parcels.NewTraffic(deps.Log, deps.Scope),
 		forwarded: deps.Scope.Counter("packets"), refusedQuestions: deps.Scope.Counter("handon_refused"),
-		configWake: make(chan struct{}, 1), evacuationWake: make(chan struct{}, 1), registerAgain: make(chan struct{}, 1), fetchTable: fetchTable, rotation: rotation.New(deps.Clock.Now(), settings.Name),
+		configWake: make(chan struct{}, 1), evacuationWake: make(chan struct{}, 1), registerAgain: make(chan struct{}, 1),
+		rotation: rotation.New(deps.Clock.Now(), settings.Name),
 	}
+	b.fetchTable = b.fetchFromPeerConn
 	b.keeper = checkpoint.NewKeeper(settings.Checkpoint)
 	b.peers = NewPeers(deps.Clock.Now(), Peer{
 		Address: settings.Parcels, Name: settings.Name, Domain: settings.Domain, CPUShare: settings.CPUShare, Epoch: epoch,
--- a/internal/process/streambalancer/config.go
+++ b/internal/process/streambalancer/config.go
@@ -13,12 +13,12 @@
 )
 
 const (
-	// callTimeout bounds a call to a peer or to the platform, which answer within
-	// milliseconds. A slow platform takes a few hundred.
+	// callTimeout bounds a call to the platform, and the time without progress of one to a
+	// peer. Both answer within milliseconds; a slow platform takes a few hundred.
 	callTimeout = 1500 * time.Millisecond
-	// initialFetchTimeout bounds a call to a peer while there is no configuration yet:
-	// callers wait, and another peer or the platform may answer sooner.
-	initialFetchTimeout = 400 * time.Millisecond
+	// initialStallTimeout is the same for a peer while there is no configuration yet: callers
+	// wait, and another peer or the platform may answer sooner.
+	initialStallTimeout = 400 * time.Millisecond
 	// initialReadTimeout bounds the first read of the configuration, plus random jitter of
 	// up to the same length. An unavailable platform may leave calls unanswered; balancers
 	// that time out at different times detect its return soon, and the first one notifies
@@ -137,19 +137,22 @@
 	}
 }
 
-// fetchFromPeer gets a version later than the given one from a peer and activates it.
+// fetchFromPeer gets a version later than the given one from a peer and activates it. After a
+// transfer that ended early but made progress it may go on at once, also with the same peer.
 func (b *Balancer) fetchFromPeer(ctx context.Context, from netip.AddrPort, above uint64, initial bool) bool {
-	timeout := callTimeout
+	stall := callTimeout
 	if initial {
-		timeout = initialFetchTimeout
+		stall = initialStallTimeout
 	}
-	t, err := b.fetchTable(ctx, from, above, timeout)
-	if err != nil {
+	received := b.transfer.Received()
+	t, err := b.fetchTable(ctx, from, above, stall)
+	progress := b.transfer.Received() > received
+	if err != nil && !progress {
 		b.mu.Lock()
 		b.peers.FetchFailed(b.deps.Clock.Now(), from)
 		b.mu.Unlock()
 	}
-	return b.applyTable(t, err, "peer")
+	return b.applyTable(t, err, "peer") || progress
 }
 
 // readTable reads the current version from the platform and activates it. An answer starts
@@ -183,16 +186,17 @@
 			Err(err).Msg("reading the configuration failed")
 		return false
 	}
+	changes := routing.Compare(b.currentTable(), t)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.deps.Clock.Now()
-	if !b.steerer.SetTable(now, t) {
+	if !b.steerer.Activate(now, changes) {
 		return true
 	}
 	age := b.lag.Age(now)
 	b.lag.Activate(t.Version)
 	b.deps.Log.Info().Str("event", "version").Uint64("version", t.Version).Uint64("revision", t.Revision).
-		Int("listeners", len(t.Listeners)).Str("from", from).Int64("age", int64(age)).Msg("configuration in force")
+		Int("listeners", len(t.Listeners)).Int("replaced", len(changes.Replaced)).Str("from", from).Int64("age", int64(age)).Msg("configuration in force")
 	for _, mistake := range t.Ignored {
 		b.deps.Log.Warn().Str("event", "ignored").Uint64("version", t.Version).Str("mistake", mistake).Send()
 	}
@@ -200,6 +204,13 @@
 	return true
 }
 
+// currentTable returns the table in force, or nil.
+func (b *Balancer) currentTable() *routing.Table {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.steerer.Table()
+}
+
 // behind returns the latest version that is known and not in force, and for how long one has
 // been known.
 func (b *Balancer) behind() (uint64, clock.Millis) {
--- a/internal/process/streambalancer/slow_link_test.go
+++ b/internal/process/streambalancer/slow_link_test.go
@@ -112,7 +112,7 @@
 	}
 	link.Listener = l
 	newTestBalancer := func(name string) *Balancer {
-		b := newBalancer(Settings{Name: name, Domain: "d", FlowTTL: clock.Minute},
+		b := newBalancer(Settings{Name: name, Domain: "d", FlowTTL: clock.Minute, Parcels: peerAddress(0)},
 			Deps{Source: absentSource{}, Clock: clock.System(), Log: zerolog.Nop(), Scope: tally.NoopScope}, 1)
 		b.parcelSender = discard{}
 		return b
--- a/internal/process/streambalancer/table_server.go
+++ b/internal/process/streambalancer/table_server.go
@@ -4,29 +4,33 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"log"
 	"net"
-	"net/netip"
-	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
-	"github.com/zeebo/errs"
 
+	"github.com/wagtailtray/wagtailtray/internal/version/replication"
 	"github.com/wagtailtray/wagtailtray/internal/version/routing"
+	"github.com/wagtailtray/wagtailtray/pkg/wire"
 )
 
-// methodTable is the method that returns the routing table.
-const methodTable = "table"
-
-// maxTableConns bounds concurrent connections of peers; each ends after one call or
-// callTimeout.
-const maxTableConns = 64
+// Methods between balancers. methodTable returns the routing table whole; only balancers
+// without the other methods need it, and those whose transfer has ended in a mismatch.
+const (
+	methodTable     = "table"
+	methodCompare   = "compare"
+	methodListeners = "listeners"
+)
 
-// errNoLaterVersion means that the queried balancer has no later version.
-var errNoLaterVersion = errs.New("streambalancer: the peer has no later version")
+const (
+	// maxTableConns bounds concurrent connections of peers.
+	maxTableConns = 64
+	// serverStallTimeout ends a connection of a peer without progress: longer than a reader
+	// waits, as the end of an answer may still be on its way.
+	serverStallTimeout = 3 * callTimeout
+)
 
 // silentLogger suppresses the library's own log lines: a peer that disconnects during a
 // call already shows up as the error of that call.
@@ -63,9 +67,10 @@
 }
 
 func (b *Balancer) serveTableConn(ctx context.Context, conn net.Conn) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, maxTransferTime)
 	defer cancel()
-	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(conn), jsonrpc2.HandlerWithError(b.handleTableRequest), silentLogger)
+	stream := jsonrpc2.NewPlainObjectStream(newProgressConn(conn, serverStallTimeout))
+	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(b.handleTableRequest), silentLogger)
 	defer func() { _ = rpc.Close() }()
 	select {
 	case <-rpc.DisconnectNotify():
@@ -73,66 +78,48 @@
 	}
 }
 
+// handleTableRequest answers from the table in force, without the lock: a table is immutable.
 func (b *Balancer) handleTableRequest(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
-	if r.Method != methodTable || r.Params == nil {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + r.Method}
+	t := b.currentTable()
+	var answer any
+	err := error(&jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + r.Method})
+	switch r.Method {
+	case methodTable:
+		answer, err = answerTable(r, t, wholeTable)
+	case methodCompare:
+		answer, err = answerTable(r, t, replication.Compare)
+	case methodListeners:
+		answer, err = answerTable(r, t, replication.Collect)
 	}
-	var request tableRequest
-	if err := json.Unmarshal(*r.Params, &request); err != nil {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	t := b.steerer.Table()
-	if t == nil || t.Version <= request.Above {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: errNoLaterVersion.Error()}
+	return answer, rpcError(err)
+}
+
+func wholeTable(t *routing.Table, question *tableRequest) (*routing.Table, error) {
+	if t == nil || t.Version <= question.Above {
+		return nil, replication.ErrNoLaterVersion
 	}
 	return t, nil
 }
 
-// fetchTable gets a version later than the given one from a peer. An error tells how far it
-// got.
-func fetchTable(ctx context.Context, from netip.AddrPort, above uint64, timeout time.Duration) (*routing.Table, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", from.String())
-	if err != nil {
-		return nil, errs.Wrap(err)
+// answerTable decodes a question and answers it.
+func answerTable[Q tableRequest | wire.TableCompare | wire.TableListeners, A any](
+	r *jsonrpc2.Request, t *routing.Table, answer func(*routing.Table, *Q) (*A, error),
+) (any, error) {
+	var question Q
+	if r.Params == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "no parameters"}
 	}
-	counted := &countingConn{Conn: conn, openedAt: time.Now()}
-	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(counted), jsonrpc2.HandlerWithError(
-		func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) { return nil, nil },
-	), silentLogger)
-	defer func() { _ = rpc.Close() }()
-	t := &routing.Table{}
-	if err := rpc.Call(ctx, methodTable, tableRequest{Above: above}, t); err != nil {
-		return nil, fmt.Errorf("from %s, %s: %w", from, counted.progress(), err)
+	if err := json.Unmarshal(*r.Params, &question); err != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 	}
-	return t, t.Check()
+	return answer(t, &question)
 }
 
-// countingConn counts what it reads.
-type countingConn struct {
-	net.Conn
-	openedAt time.Time
-	// bytes is the number of bytes read, and firstByte how long after openedAt the first one
-	// came, in nanoseconds.
-	bytes     atomic.Int64
-	firstByte atomic.Int64
-}
-
-// Read implements net.Conn.
-func (c *countingConn) Read(buf []byte) (int, error) {
-	n, err := c.Conn.Read(buf)
-	if n > 0 {
-		c.firstByte.CompareAndSwap(0, int64(time.Since(c.openedAt)))
-		c.bytes.Add(int64(n))
+// rpcError returns an error that the library passes on with its code.
+func rpcError(err error) error {
+	var coded *jsonrpc2.Error
+	if err == nil || errors.As(err, &coded) {
+		return err
 	}
-	return n, err
-}
-
-// progress tells how much has been read, for logs.
-func (c *countingConn) progress() string {
-	return fmt.Sprintf("%d bytes in %d ms, the first after %d ms", c.bytes.Load(),
-		time.Since(c.openedAt).Milliseconds(), time.Duration(c.firstByte.Load()).Milliseconds())
+	return &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
 }
--- a/internal/process/streambalancer/watch_fleet_test.go
+++ b/internal/process/streambalancer/watch_fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/wagtailtray/wagtailtray/internal/connection/checkpoint"
 	"github.com/wagtailtray/wagtailtray/internal/standin/treatment"
 	"github.com/wagtailtray/wagtailtray/internal/version/evacuation"
+	"github.com/wagtailtray/wagtailtray/internal/version/replication"
 	"github.com/wagtailtray/wagtailtray/internal/version/routing"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
 	"github.com/wagtailtray/wagtailtray/pkg/platform"
@@ -341,7 +342,7 @@
 			return t, nil
 		}
 	}
-	return nil, errNoLaterVersion
+	return nil, replication.ErrNoLaterVersion
 }
 
 // checkChange changes the configuration and the evacuations. All balancers that the store
--- a/internal/version/routing/index.go
+++ b/internal/version/routing/index.go
@@ -193,4 +193,3 @@
 	}
 	return list, nil
 }
-
