A balancer that lacks a version for over a second leaves openings to one that has it

A balancer that knew from its peers that a later version was in force opened flows by its old table for as long as it lacked that version, whatever the reason: a full link, a peer that does not answer, no processor time.

Now it hands the opening, one datagram, to a balancer that has every version that has been known here for over a second (a quarter of the bound): in its own failure domain and in rotation first, chosen by the flow, so that retransmissions meet. That one opens it by its own table whatever it believes of itself, so nothing goes in circles, and tells the first one the owner, to which the caller's next packets come. Where nobody in reach has the version, all is as before; open flows are not touched; a balancer without any table hands on as well.

The readiness answer stays as it was: such a balancer serves, and out of rotation nearly all flows of a deployment without steady hashing would move.

--- a/internal/connection/stream/opening.go
+++ b/internal/connection/stream/opening.go
@@ -16,13 +16,25 @@
 // down and accepting twice is harmless. A new flow from a port that was used before is
 // opened as if the earlier flow had not been.
 func (s *Steerer) handleOpening(now clock.Millis, id segment.Flow, f *flow, seq uint32, packet []byte) {
+	f, resent := s.resend(now, id, f, seq, packet)
+	if resent || s.handOn(id, packet) {
+		return
+	}
+	s.openFlow(now, id, f, seq, packet)
+}
+
+// resend sends a retransmission to the flow's owner, and reports whether it did. It returns
+// the flow, or nil if the packet opens a new one.
+func (s *Steerer) resend(now clock.Millis, id segment.Flow, f *flow, seq uint32, packet []byte) (*flow, bool) {
 	if f != nil && !f.opening.mayResend(now, seq, f.ended) {
 		s.forget(id, f)
 		f = nil
 	}
-	if f != nil && s.resendToOwner(now, id, f, seq, packet) {
-		return
-	}
+	return f, f != nil && s.resendToOwner(now, id, f, seq, packet)
+}
+
+// openFlow opens a flow by the table in force, or queues its opening packet until there is one.
+func (s *Steerer) openFlow(now clock.Millis, id segment.Flow, f *flow, seq uint32, packet []byte) {
 	if s.table == nil && s.queueAtStartup(now, id, seq, packet, "no configuration yet") {
 		return
 	}
--- a/internal/connection/stream/outcome.go
+++ b/internal/connection/stream/outcome.go
@@ -60,6 +60,8 @@
 	// that a balancer refused since the targets are.
 	Busy     EventKind = "busy"
 	Overload EventKind = "overload"
+	// HandedOn is an opening that a balancer left to one with a later version.
+	HandedOn EventKind = "handed"
 )
 
 // Event is a decision with the inputs that led to it.
--- a/internal/connection/stream/queue.go
+++ b/internal/connection/stream/queue.go
@@ -98,6 +98,9 @@
 // no listener, or it is certain that no target may take it. full holds the destinations
 // without a target.
 func (s *Steerer) canResolve(now clock.Millis, id segment.Flow, full map[destination]bool) bool {
+	if len(s.upToDate) > 0 {
+		return true
+	}
 	if s.table == nil || s.evacuationsUnknown() && now.Sub(s.started) <= startupPeriod {
 		return false
 	}
--- a/internal/connection/stream/steer.go
+++ b/internal/connection/stream/steer.go
@@ -62,6 +62,8 @@
 	searchFailedAt clock.Millis
 	// lastAck is the caller's last acknowledgement number.
 	lastAck uint32
+	// handedBy is the balancer that handed the opening on; the zero value if none did.
+	handedBy netip.AddrPort
 	// inherited is set if the owner was learned from another balancer and no packet has
 	// arrived here since; ended if the caller has ended the flow.
 	inherited bool
@@ -108,6 +110,9 @@
 	leastShares [routing.MaxPriority + 1]float64
 	// presence holds, by service, the priorities of the openings seen lately.
 	presence map[string]*admission.Presence
+	// upToDate lists the balancers to which openings are handed on, as they have a version that
+	// this balancer should have by now; empty if it has it.
+	upToDate []netip.AddrPort
 	out      Outcome
 }
 
@@ -382,6 +387,7 @@
 	}
 	f.owner = confirmedBy(from)
 	f.pending = 0
+	s.tellOwner(id, f, from)
 	s.out.record(Event{Kind: OwnerConfirmed, Flow: id, Target: from, Service: f.service, Age: now.Sub(f.lastSeen)})
 }
 
--- a/internal/process/parcels/traffic.go
+++ b/internal/process/parcels/traffic.go
@@ -15,7 +15,7 @@
 
 // verbCount is the number of verbs that are counted separately; higher ones count as
 // VERB_NONE.
-const verbCount = int(wire.Verb_VERB_SUMMARY) + 1
+const verbCount = int(wire.Verb_VERB_HANDED) + 1
 
 // Traffic counts the parcels and bytes that a process sends, by verb. Parcels that leave
 // its failure domain are counted separately, because they are charged by the byte.
--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -156,6 +156,8 @@
 	settled bool
 	// lag tracks the versions of the configuration that peers hold and this balancer does not.
 	lag lag
+	// handsOn is set while openings are handed to balancers with a later version.
+	handsOn bool
 	// watching reports whether this balancer watches the platform and was answered within the
 	// lease, and watchingSince since when. answeredAt is the time of the last answer, and answerTime how long the platform
 	// takes for one; zero if it is not slow.
@@ -326,6 +328,8 @@
 		}
 	case wire.Verb_VERB_KEEP:
 		b.handleCheckpoint(from, p.Checkpoint)
+	case wire.Verb_VERB_HANDED:
+		b.steerer.HandleHanded(now, from, seg, p.Packet)
 	case wire.Verb_VERB_SUMMARY:
 		b.handleSummary(now, from, p.Summary)
 	case wire.Verb_VERB_ASK:
--- a/internal/process/streambalancer/config.go
+++ b/internal/process/streambalancer/config.go
@@ -195,6 +195,7 @@
 	}
 	age := b.lag.Age(now)
 	b.lag.Activate(t.Version)
+	b.updateHandOn(now)
 	b.deps.Log.Info().Str("event", "version").Uint64("version", t.Version).Uint64("revision", t.Revision).
 		Int("listeners", len(t.Listeners)).Int("replaced", len(changes.Replaced)).Str("from", from).Int64("age", int64(age)).Msg("configuration in force")
 	for _, mistake := range t.Ignored {
@@ -204,6 +205,23 @@
 	return true
 }
 
+// updateHandOn decides whether openings are left to balancers that have a version that has
+// been known here for too long. Where nobody in reach has it, this balancer goes on. The caller
+// holds the lock.
+func (b *Balancer) updateHandOn(now clock.Millis) {
+	overdue := b.lag.Overdue(now, maxLag)
+	var peers []netip.AddrPort
+	if overdue > 0 {
+		peers = b.peers.UpToDate(now, overdue)
+	}
+	b.steerer.SetUpToDate(peers)
+	if on := len(peers) > 0; on != b.handsOn {
+		b.handsOn = on
+		b.deps.Log.Warn().Str("event", "behind").Bool("handing", on).Uint64("version", b.tableVersion()).
+			Uint64("latest", b.lag.Latest()).Int64("age", int64(b.lag.Age(now))).Int("count", len(peers)).Send()
+	}
+}
+
 // currentTable returns the table in force, or nil.
 func (b *Balancer) currentTable() *routing.Table {
 	b.mu.Lock()
--- a/internal/process/streambalancer/lag.go
+++ b/internal/process/streambalancer/lag.go
@@ -10,6 +10,10 @@
 // maxLaterVersions bounds the versions that a lag tracks.
 const maxLaterVersions = 64
 
+// maxLag is how long a balancer may open flows by its table after it has heard of a later
+// version: a quarter of the time within which a version must be in force.
+const maxLag = clock.Second
+
 // lag tracks the versions of the configuration that this balancer has heard of and not yet
 // activated. It is pure: time is an argument.
 type lag struct {
--- a/internal/process/streambalancer/news.go
+++ b/internal/process/streambalancer/news.go
@@ -33,7 +33,7 @@
 		Self:  peerContact(self),
 		Epoch: self.Epoch, Digest: view.Digest, Lost: view.Lost, Watching: b.watching, Leaving: b.leaving,
 		Duties: uint32(b.duties), Failing: uint32(b.failing),
-		Settled: b.settled,
+		Settled: b.settled, Takes: true,
 		Version: b.tableVersion(), Evacuations: b.evacuationsMessage(),
 		Resting: b.rotation.Resting(), Lateness: encodeLateness(b.rotation.Lateness.Mean()),
 	}
@@ -207,7 +207,7 @@
 	isNew := b.peers.Update(now, Peer{
 		Address: from, Name: n.Self.Name, Domain: n.Self.Domain, CPUShare: n.Self.Share, Epoch: n.Epoch, Version: n.Version,
 		Watching: n.Watching, Duties: Duties(n.Duties), Failing: Duties(n.Failing), Leaving: n.Leaving, Settled: n.Settled, ChoseThis: n.Chose,
-		View: View{Digest: n.Digest, Lost: n.Lost}, Resting: n.Resting, Lateness: decodeLateness(n.Lateness),
+		Takes: n.Takes, View: View{Digest: n.Digest, Lost: n.Lost}, Resting: n.Resting, Lateness: decodeLateness(n.Lateness),
 	})
 	if b.peers.former.TakeReturned(from, n.Epoch) {
 		b.checkRegistration()
--- a/internal/process/streambalancer/peers.go
+++ b/internal/process/streambalancer/peers.go
@@ -45,6 +45,8 @@
 	Duties, Failing Duties
 	// Settled reports whether it knows all targets that the others know.
 	Settled bool
+	// Takes reports whether it opens flows that others hand on to it.
+	Takes bool
 	// Resting reports whether it does not take part in the fabric's rotation, RestChangedAt
 	// is when that was last seen to change, and Lateness is its mean lateness in
 	// milliseconds.
@@ -205,7 +207,7 @@
 	}
 	ps.updateDuties(now, p, n.Duties, n.Failing)
 	p.Name, p.Domain, p.CPUShare, p.Epoch, p.Version = n.Name, n.Domain, n.CPUShare, n.Epoch, n.Version
-	p.Watching, p.Leaving, p.Settled = n.Watching, n.Leaving, n.Settled
+	p.Watching, p.Leaving, p.Settled, p.Takes = n.Watching, n.Leaving, n.Settled, n.Takes
 	p.View, p.ChoseThis = n.View, n.ChoseThis
 	if p.Resting != n.Resting {
 		p.RestChangedAt = now
@@ -280,6 +282,33 @@
 	)
 }
 
+// UpToDate returns the live peers that have a version or a later one and take openings: those
+// of the local failure domain, or all others if there are none. Those that take part in the
+// fabric's rotation go first, as the others lack processor time.
+func (ps *Peers) UpToDate(now clock.Millis, version uint64) []netip.AddrPort {
+	var best []netip.AddrPort
+	bestRank := -1
+	for _, p := range ps.Sorted() {
+		if !p.Live(now) || !p.Takes || p.Version < version {
+			continue
+		}
+		rank := 0
+		if p.Domain == ps.self.Domain {
+			rank += 2
+		}
+		if !p.Resting {
+			rank++
+		}
+		if rank > bestRank {
+			best, bestRank = nil, rank
+		}
+		if rank == bestRank {
+			best = append(best, p.Address)
+		}
+	}
+	return best
+}
+
 // FetchFailed records that a call to a balancer failed.
 func (ps *Peers) FetchFailed(now clock.Millis, a netip.AddrPort) {
 	if p := ps.known[a]; p != nil {
--- a/internal/process/streambalancer/tick.go
+++ b/internal/process/streambalancer/tick.go
@@ -43,6 +43,7 @@
 	b.sendNotices(now)
 	b.updateRotation(now)
 	b.reportVersion(now)
+	b.updateHandOn(now)
 	if b.traffic.LogIfDue(now, false) {
 		b.reportTargets(now)
 	}
