--- a/internal/process/streambalancer/slow_link_test.go
+++ b/internal/process/streambalancer/slow_link_test.go
@@ -199,3 +199,12 @@
 	activate(x.source, largeTable(t, 24, 3300, 0))
 	x.awaitVersion(t, 24)
 }
+
+// A balancer that has just started gives a peer little time to begin, as another one may
+// answer sooner. That must not be the time for the whole table.
+func TestStartingBalancerGetsLargeTableOverBusyLink(t *testing.T) {
+	t.Parallel()
+	x := newLinkedPair(t, slowListener{rate: 300_000})
+	activate(x.source, largeTable(t, 24, 3300, 0))
+	x.awaitVersion(t, 24)
+}
--- a/internal/version/replication/replication_test.go
+++ b/internal/version/replication/replication_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -229,6 +230,10 @@
 	if _, err := x.Finish(base); !errors.Is(err, ErrMismatch) {
 		t.Errorf("a table without a part: %v", err)
 	}
+	reordered := &wire.TablePart{Number: compared.Parts[0].Number, Hashes: slices.Concat(compared.Parts[0].Hashes, compared.Parts[0].Hashes)}
+	if err := x.Begin(base, &wire.TableCompared{Parts: []*wire.TablePart{reordered}}); !errors.Is(err, ErrMalformed) {
+		t.Errorf("a part with hashes out of order: %v", err)
+	}
 	if err := x.Begin(base, &wire.TableCompared{Parts: []*wire.TablePart{{Number: routing.PartCount}}}); !errors.Is(err, ErrMalformed) {
 		t.Errorf("a part that there is not: %v", err)
 	}
--- a/internal/version/replication/source.go
+++ b/internal/version/replication/source.go
@@ -53,7 +53,7 @@
 
 // Collect returns those of the listeners asked for that the table has, as far as they fit.
 func Collect(t *routing.Table, question *wire.TableListeners) (*wire.TableListened, error) {
-	hashes, err := routing.AppendHashes(nil, question.Hashes)
+	hashes, err := routing.DecodeHashes(question.Hashes)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/version/routing/index.go
+++ b/internal/version/routing/index.go
@@ -33,13 +33,24 @@
 func compareEntries(a, b entry) int { return cmp.Compare(a.hash, b.hash) }
 
 // NewTable returns the table with a head, the listeners of a base table that have one of the
-// hashes, and additional listeners by their encoding. Nothing of the base is copied.
+// hashes, which ascend, and additional listeners by their encoding. Nothing of the base is
+// copied.
 func NewTable(head *wire.TableHead, base *Table, hashes []uint64, added map[uint64][]byte) (*Table, error) {
 	t := decodeHead(head)
 	t.entries = make([]entry, 0, len(hashes))
+	t.Listeners = make([]*Listener, 0, len(hashes))
+	var rest []entry
+	if base != nil {
+		rest = base.entries
+	}
 	for _, h := range hashes {
-		e, ok := base.find(h)
-		if !ok {
+		for len(rest) > 0 && rest[0].hash < h {
+			rest = rest[1:]
+		}
+		var e entry
+		if len(rest) > 0 && rest[0].hash == h {
+			e = rest[0]
+		} else {
 			l, err := decodeListener(added[h])
 			if err != nil {
 				return nil, err
@@ -49,7 +60,7 @@
 		t.entries = append(t.entries, e)
 		t.Listeners = append(t.Listeners, e.listener)
 	}
-	slices.SortFunc(t.entries, compareEntries)
+	t.buildDigests()
 	if err := t.checkRules(); err != nil {
 		return nil, err
 	}
@@ -70,9 +81,18 @@
 		t.entries = append(t.entries, entry{hash: xxh3.Hash(encoded), encoded: encoded, listener: l})
 	}
 	slices.SortFunc(t.entries, compareEntries)
+	t.buildDigests()
 	return nil
 }
 
+// buildDigests computes the digests of the parts, so that they are there for all that ask.
+func (t *Table) buildDigests() {
+	t.partDigests = make([]byte, 0, PartCount*HashSize)
+	for i := range PartCount {
+		t.partDigests = binary.BigEndian.AppendUint64(t.partDigests, xxh3.Hash(t.Part(i)))
+	}
+}
+
 func (t *Table) find(hash uint64) (entry, bool) {
 	if t == nil {
 		return entry{}, false
@@ -106,19 +126,16 @@
 	return hashes
 }
 
+// partOf returns the number of the part to which a listener belongs.
 func partOf(hash uint64) int { return int(hash >> (hashBits - partBits)) }
 
 // PartDigests returns the digests of all parts, encoded one after the other; empty without a
-// table.
+// table. They must not be changed.
 func (t *Table) PartDigests() []byte {
 	if t == nil {
 		return nil
 	}
-	digests := make([]byte, 0, PartCount*HashSize)
-	for i := range PartCount {
-		digests = binary.BigEndian.AppendUint64(digests, xxh3.Hash(t.Part(i)))
-	}
-	return digests
+	return t.partDigests
 }
 
 // Digest identifies the table: two with the same digest route in the same way.
@@ -183,13 +200,28 @@
 	return l, nil
 }
 
-// AppendHashes decodes hashes and appends them to a list.
-func AppendHashes(list []uint64, encoded []byte) ([]uint64, error) {
+// DecodeHashes decodes hashes.
+func DecodeHashes(encoded []byte) ([]uint64, error) {
 	if len(encoded)%HashSize != 0 {
 		return nil, fmt.Errorf("%w: %d bytes of hashes", ErrInvalid, len(encoded))
 	}
+	list := make([]uint64, 0, len(encoded)/HashSize)
 	for i := 0; i < len(encoded); i += HashSize {
 		list = append(list, binary.BigEndian.Uint64(encoded[i:]))
 	}
 	return list, nil
 }
+
+// DecodePart decodes the hashes of a part, which must ascend and belong to it.
+func DecodePart(number int, encoded []byte) ([]uint64, error) {
+	list, err := DecodeHashes(encoded)
+	if err != nil {
+		return nil, err
+	}
+	for i, h := range list {
+		if partOf(h) != number || i > 0 && h <= list[i-1] {
+			return nil, fmt.Errorf("%w: part %d has a hash out of order", ErrInvalid, number)
+		}
+	}
+	return list, nil
+}
--- a/internal/version/routing/routing.go
+++ b/internal/version/routing/routing.go
@@ -80,11 +80,12 @@
 	// services holds the services to which listeners route.
 	services map[string]bool
 	// entries are the listeners by the hash of their encoding.
-	entries []entry
+	entries     []entry
+	partDigests []byte
 }
 
-// MaxListeners bounds a table: the addresses planned for in two years ten times over.
-const MaxListeners = 12_000
+// MaxListeners bounds a table: forty times the addresses planned for in two years.
+const MaxListeners = 50_000
 
 // Check returns the first error in a table and builds its index. Of listeners with the same
 // address the last one counts.
