QUIC edge: a whole configuration that arrives slowly is not given up

Only the methods whose answers grow with the deployment (sync, exchange) are awaited longer, while bytes arrive, and for ten seconds more at most: the other calls decide whom to suspect.

--- a/internal/process/control/client.go
+++ b/internal/process/control/client.go
@@ -26,6 +26,7 @@
 // because a connection to another peer replaced it. Client.mu guards it.
 type cachedConn struct {
 	conn    *jsonrpc2.Conn
+	raw     *receivingConn
 	calls   int
 	evicted bool
 }
@@ -60,13 +61,19 @@
 	return &Client{config: config, conns: conns}, nil
 }
 
-// Call makes one call and waits for its reply. An error that is ErrRefused came
+// Call makes one call and waits for its reply. A large answer that is arriving when the
+// context's deadline passes is awaited as long as it makes progress. An error that is ErrRefused came
 // from the peer; with any other it is unknown whether the call ran.
 func (c *Client) Call(ctx context.Context, address netip.AddrPort, m Method, params, reply any) error {
 	k, err := c.acquire(ctx, address)
 	if err != nil {
 		return err
 	}
+	if m.large() {
+		extended, cancel := k.raw.extend(ctx)
+		defer cancel()
+		ctx = extended
+	}
 	err = k.conn.Call(ctx, string(m), params, reply)
 	var refused *jsonrpc2.Error
 	answered := errors.As(err, &refused)
@@ -89,12 +96,14 @@
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	dialer := &tls.Dialer{NetDialer: &net.Dialer{}, Config: c.config}
-	raw, err := dialer.DialContext(ctx, "tcp", address.String())
+	conn, err := dialer.DialContext(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, errs.Wrap(err)
 	}
+	raw := &receivingConn{Conn: conn}
 	// The connection outlives the call that made it.
-	k := &cachedConn{conn: jsonrpc2.NewConn(context.Background(), newObjectStream(raw), jsonrpc2.HandlerWithError(rejectCall), silentLogger), calls: 1}
+	rpc := jsonrpc2.NewConn(context.Background(), newObjectStream(raw), jsonrpc2.HandlerWithError(rejectCall), silentLogger)
+	k := &cachedConn{conn: rpc, raw: raw, calls: 1}
 	c.cache(address, k)
 	return k, nil
 }
