--- a/internal/process/streambalancer/slow_link_test.go
+++ b/internal/process/streambalancer/slow_link_test.go
@@ -196,8 +196,8 @@
 	t.Parallel()
 	x := newLinkedPair(t, slowListener{rate: 2_000_000, cutAfter: 100_000})
 	activate(x.reader, largeTable(t, 16, 2000, 0))
-	activate(x.source, largeTable(t, 24, 3300, 0))
-	x.awaitVersion(t, 24)
+	activate(x.source, largeTable(t, 30, 3300, 0))
+	x.awaitVersion(t, 30)
 }
 
 // A balancer that has just started gives a peer little time to begin, as another one may
--- a/internal/version/replication/replication_test.go
+++ b/internal/version/replication/replication_test.go
@@ -208,7 +208,7 @@
 
 // An answer that lies about the table as a whole ends in a mismatch, not in a table.
 func TestMismatchIsFound(t *testing.T) {
-	base, source := newTable(t, 1, limits(50, 1000)), newTable(t, 2, limits(60, 1000))
+	base, source := newTable(t, 1, limits(50, 1000)), newTable(t, 2, limits(60, 2000))
 	x := &Transfer{}
 	compared, err := Compare(source, x.Question(base, 1))
 	if err != nil {
