--- a/cmd/wagtailtray/main.go
+++ b/cmd/wagtailtray/main.go
@@ -8,6 +8,7 @@
 //	wagtailtray status --peers 192.0.2.21:7000 --key ...
 //	wagtailtray story --flow 192.0.2.7:40001 *.log
 //	wagtailtray load *.log
+//	wagtailtray versions *.log
 //	wagtailtray try
 //
 // See docs/operate for what each command does and its exit codes.
@@ -45,17 +46,18 @@
 var errViolation = errs.New("a guarantee was violated")
 
 type cli struct {
-	Answers answersCommand `cmd:"" help:"Write or check a questionnaire."`
-	Plan    planCommand    `cmd:"" help:"Generate the configuration and show what would change."`
-	Approve approveCommand `cmd:"" help:"Apply a plan."`
-	Status  statusCommand  `cmd:"" help:"Show the version in force and the state of each failure domain."`
-	Drain   drainCommand   `cmd:"" help:"Let a target finish its flows and take no new ones."`
-	Undrain undrainCommand `cmd:"" help:"Let a target take new flows again."`
-	History historyCommand `cmd:"" help:"List the approved changes."`
-	Key     keyCommand     `cmd:"" help:"Print a new deployment key."`
-	Story   storyCommand   `cmd:"" help:"Show what the logs record about one flow."`
-	Load    loadCommand    `cmd:"" help:"Show from the logs who was refused or had to wait, and why."`
-	Try     tryCommand     `cmd:"" help:"Run a whole deployment on loopback and change it under load."`
+	Answers  answersCommand  `cmd:"" help:"Write or check a questionnaire."`
+	Plan     planCommand     `cmd:"" help:"Generate the configuration and show what would change."`
+	Approve  approveCommand  `cmd:"" help:"Apply a plan."`
+	Status   statusCommand   `cmd:"" help:"Show the version in force and the state of each failure domain."`
+	Drain    drainCommand    `cmd:"" help:"Let a target finish its flows and take no new ones."`
+	Undrain  undrainCommand  `cmd:"" help:"Let a target take new flows again."`
+	History  historyCommand  `cmd:"" help:"List the approved changes."`
+	Key      keyCommand      `cmd:"" help:"Print a new deployment key."`
+	Story    storyCommand    `cmd:"" help:"Show what the logs record about one flow."`
+	Load     loadCommand     `cmd:"" help:"Show from the logs who was refused or had to wait, and why."`
+	Versions versionsCommand `cmd:"" help:"Show from the logs which version is in force at which balancer, and who lags why."`
+	Try      tryCommand      `cmd:"" help:"Run a whole deployment on loopback and change it under load."`
 }
 
 func main() {
--- a/internal/process/decisions/timeline.go
+++ b/internal/process/decisions/timeline.go
@@ -31,6 +31,11 @@
 	Count   int    `json:"count"`
 	Omitted int    `json:"left"`
 	Message string `json:"message"`
+	// From, Error and Handing are the source of a version, why a read of one failed, and
+	// whether a balancer hands openings on.
+	From    string `json:"from"`
+	Error   string `json:"error"`
+	Handing bool   `json:"handing"`
 	// Settled, Watching, Keeping and Relaying are the states that the events settled,
 	// watch, keeper and relay report.
 	Settled  *bool `json:"settled"`
@@ -59,7 +64,7 @@
 	string(stream.TargetNew): true, string(stream.TargetSuspected): true, string(stream.TargetRecovered): true,
 	string(stream.TargetGone): true, string(stream.Upstream): true, "version": true, "settled": true,
 	string(stream.Restored): true, string(stream.Evacuation): true, string(stream.Short): true, "relay": true, "keeper": true, "nocheckpoint": true,
-	"start": true, "stop": true, "watch": true, "noconfiguration": true, "peer": true,
+	"start": true, "stop": true, "watch": true, "noconfiguration": true, "behind": true, "peer": true,
 }
 
 // ReadLines reads the lines of a log. It skips lines that hold no event, and drops text
