A source keeps what versions have replaced, for readers that have begun with them

Found by a new test of a storm, not by callers: thirty versions, one each 100 ms, of which each replaces a hundred and more listeners, over a link with 100 kB a second left.

Also a test that tables pass between this build and the last one, both ways.

--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -203,7 +203,9 @@
 	// without progress.
 	fetchTable func(ctx context.Context, from netip.AddrPort, above uint64, stall time.Duration) (*routing.Table, error)
 	// transfer holds what has arrived of a version; only syncConfig uses it.
-	transfer   replication.Transfer
+	transfer replication.Transfer
+	// archive holds what versions have replaced lately, for peers that still read those.
+	archive    replication.Archive
 	cancel     context.CancelFunc
 	background tasks.Group
 }
--- a/internal/process/streambalancer/config.go
+++ b/internal/process/streambalancer/config.go
@@ -187,6 +187,7 @@
 		return false
 	}
 	changes := routing.Compare(b.currentTable(), t)
+	b.archive.Add(changes)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.deps.Clock.Now()
--- a/internal/process/streambalancer/slow_link_test.go
+++ b/internal/process/streambalancer/slow_link_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/sourcegraph/jsonrpc2"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/wagtailtray/wagtailtray/internal/version/routing"
@@ -113,7 +114,7 @@
 	link.Listener = l
 	newTestBalancer := func(name string) *Balancer {
 		b := newBalancer(Settings{Name: name, Domain: "d", FlowTTL: clock.Minute, Parcels: peerAddress(0)},
-			Deps{Source: absentSource{}, Clock: clock.System(), Log: zerolog.Nop(), Scope: tally.NoopScope}, 1)
+			Deps{Source: absentSource{}, Clock: clock.System(), Log: zerolog.New(zerolog.NewTestWriter(t)), Scope: tally.NoopScope}, 1)
 		b.parcelSender = discard{}
 		return b
 	}
@@ -148,9 +149,7 @@
 
 // activate puts a table in force at a balancer.
 func activate(b *Balancer, table *routing.Table) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.steerer.SetTable(b.deps.Clock.Now(), table)
+	b.applyTable(table, nil, "platform")
 }
 
 // awaitVersion returns how long the reader takes for a version.
@@ -208,3 +207,54 @@
 	activate(x.source, largeTable(t, 24, 3300, 0))
 	x.awaitVersion(t, 24)
 }
+
+// Versions come faster than a busy link carries a table. A reader that begins anew with each
+// of them, or that takes them one by one, falls behind until the storm is over.
+func TestStormOfVersionsArrivesOverBusyLink(t *testing.T) {
+	t.Parallel()
+	x := newLinkedPair(t, slowListener{rate: 100_000})
+	activate(x.reader, largeTable(t, 100, 3300, 0))
+	for version := uint64(101); version <= 130; version++ {
+		activate(x.source, largeTable(t, version, 3300, int(version)))
+		time.Sleep(100 * time.Millisecond)
+		if latest, age := x.reader.behind(); age.Duration() > inForceBound/2 {
+			t.Fatalf("version %d has been known for %d ms", latest, age)
+		}
+	}
+	x.awaitVersion(t, 130)
+}
+
+// While a fleet is upgraded, balancers of the last build know only whole tables: they must get
+// them from those of this build, and give them to those.
+func TestTablesPassBetweenBuilds(t *testing.T) {
+	t.Parallel()
+	x := newLinkedPair(t, slowListener{rate: 10_000_000})
+	activate(x.source, largeTable(t, 24, 400, 0))
+	conn, err := net.Dial("tcp4", x.source.tableListener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
+	defer cancel()
+	old := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(conn), jsonrpc2.HandlerWithError(x.source.handleTableRequest))
+	defer func() { _ = old.Close() }()
+	got, err := fetchWhole(ctx, old, 9)
+	if err != nil || got.Version != 24 || len(got.Listeners) != 400 {
+		t.Errorf("the last build gets %+v, %v", got, err)
+	}
+	near, far := net.Pipe()
+	oldSource := jsonrpc2.HandlerWithError(func(ctx context.Context, c *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+		if r.Method != methodTable {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + r.Method}
+		}
+		return x.source.handleTableRequest(ctx, c, r)
+	})
+	source := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(far), oldSource)
+	defer func() { _ = source.Close() }()
+	reader := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(near), oldSource)
+	defer func() { _ = reader.Close() }()
+	got, err = x.reader.readTableFrom(ctx, reader, 9)
+	if err != nil || got.Version != 24 || len(got.Listeners) != 400 {
+		t.Errorf("from the last build: %+v, %v", got, err)
+	}
+}
--- a/internal/process/streambalancer/table_client.go
+++ b/internal/process/streambalancer/table_client.go
@@ -42,10 +42,7 @@
 		func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) { return nil, nil },
 	), silentLogger)
 	defer func() { _ = rpc.Close() }()
-	t, err := b.transferTable(ctx, rpc, b.currentTable(), above)
-	if needsWhole(err) {
-		t, err = fetchWhole(ctx, rpc, above)
-	}
+	t, err := b.readTableFrom(ctx, rpc, above)
 	if err != nil {
 		return nil, fmt.Errorf("from %s, %s: %w", from, progress, err)
 	}
@@ -104,3 +101,13 @@
 	}
 	return nil
 }
+
+// readTableFrom reads what a peer's table has and this balancer's does not, or the whole table
+// where that is not possible.
+func (b *Balancer) readTableFrom(ctx context.Context, rpc *jsonrpc2.Conn, above uint64) (*routing.Table, error) {
+	t, err := b.transferTable(ctx, rpc, b.currentTable(), above)
+	if needsWhole(err) {
+		return fetchWhole(ctx, rpc, above)
+	}
+	return t, err
+}
--- a/internal/process/streambalancer/table_server.go
+++ b/internal/process/streambalancer/table_server.go
@@ -89,7 +89,9 @@
 	case methodCompare:
 		answer, err = answerTable(r, t, replication.Compare)
 	case methodListeners:
-		answer, err = answerTable(r, t, replication.Collect)
+		answer, err = answerTable(r, t, func(t *routing.Table, question *wire.TableListeners) (*wire.TableListened, error) {
+			return replication.Collect(t, &b.archive, question)
+		})
 	}
 	return answer, rpcError(err)
 }
--- a/internal/version/replication/doc.go
+++ b/internal/version/replication/doc.go
@@ -17,10 +17,10 @@
 //
 // # Usage
 //
-// The source answers from its table in force:
+// The source answers from its table in force, and from an Archive of what that has replaced:
 //
 //	answer, err := replication.Compare(table, question)
-//	answer := replication.Collect(table, question)
+//	answer := replication.Collect(table, archive, question)
 //
 // The reader keeps a Transfer from one attempt to the next:
 //
--- a/internal/version/replication/replication_test.go
+++ b/internal/version/replication/replication_test.go
@@ -48,6 +48,7 @@
 // link counts what goes over it, and may spoil answers.
 type link struct {
 	source           *routing.Table
+	archive          Archive
 	bytes, listeners int
 	spoil            func([]byte) []byte
 }
@@ -81,7 +82,7 @@
 
 func (l *link) readSome(x *Transfer) error {
 	question := x.Next()
-	answer, err := Collect(l.source, question)
+	answer, err := Collect(l.source, &l.archive, question)
 	if err != nil {
 		return err
 	}
@@ -219,7 +220,7 @@
 		t.Fatal(err)
 	}
 	for !x.Complete() {
-		answer, err := Collect(source, x.Next())
+		answer, err := Collect(source, &Archive{}, x.Next())
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/version/replication/source.go
+++ b/internal/version/replication/source.go
@@ -51,8 +51,9 @@
 	return digests[number*routing.HashSize:][:routing.HashSize]
 }
 
-// Collect returns those of the listeners asked for that the table has, as far as they fit.
-func Collect(t *routing.Table, question *wire.TableListeners) (*wire.TableListened, error) {
+// Collect returns those of the listeners asked for that the table or the archive has, as far as
+// they fit.
+func Collect(t *routing.Table, a *Archive, question *wire.TableListeners) (*wire.TableListened, error) {
 	hashes, err := routing.DecodeHashes(question.Hashes)
 	if err != nil {
 		return nil, err
@@ -60,6 +61,9 @@
 	var out []byte
 	for _, h := range hashes {
 		encoded, ok := t.Encoding(h)
+		if !ok {
+			encoded, ok = a.Encoding(h)
+		}
 		if !ok {
 			continue
 		}
--- a/internal/version/routing/history.go
+++ b/internal/version/routing/history.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"iter"
 	"net/netip"
 	"time"
 
@@ -12,6 +13,18 @@
 	From, To *Table
 	// Replaced are the listeners of From that To does not have as they were.
 	Replaced []*Listener
+	replaced []*entry
+}
+
+// ReplacedEncodings iterates over the hashes and encodings of the replaced listeners.
+func (c *Changes) ReplacedEncodings() iter.Seq2[uint64, []byte] {
+	return func(yield func(uint64, []byte) bool) {
+		for _, e := range c.replaced {
+			if !yield(e.hash, e.encoded) {
+				return
+			}
+		}
+	}
 }
 
 // Compare returns the changes from a table, nil for none, to a later one.
@@ -28,6 +41,7 @@
 		}
 		if len(rest) == 0 || rest[0].hash != e.hash {
 			c.Replaced = append(c.Replaced, e.listener)
+			c.replaced = append(c.replaced, e)
 		}
 	}
 	return c
