A peer whose answer has begun gets the usual time, and the only one with a version is tried again soon

Found by TestStartingBalancerGetsLargeTableOverBusyLink beside a load of 15 and more on 5 cores, once in three and once in eight runs with the race detector; not by callers. A balancer without a configuration gave each byte of a peer's answer 0.4 s, the time meant for the answer to begin ("65432 bytes in 1014 ms, the first after 11 ms"), and after a call without progress avoided that peer for two seconds, although no other had the version. What a process that lacks processor time misses looks like a stall.

The order of the checks in TestNewestAfterFailure holds unchanged.

--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -199,9 +199,9 @@
 	evacuationWake chan struct{}
 	// registerAgain makes the registration check this balancer's entry.
 	registerAgain chan struct{}
-	// fetchTable gets a version later than the given one from a peer. It gives up after stall
-	// without progress.
-	fetchTable func(ctx context.Context, from netip.AddrPort, above uint64, stall time.Duration) (*routing.Table, error)
+	// fetchTable gets a version later than the given one from a peer, whose answer is to begin
+	// in time.
+	fetchTable func(ctx context.Context, from netip.AddrPort, above uint64, begin time.Duration) (*routing.Table, error)
 	// transfer holds what has arrived of a version; only syncConfig uses it.
 	transfer replication.Transfer
 	// archive holds what versions have replaced lately, for peers that still read those.
--- a/internal/process/streambalancer/config.go
+++ b/internal/process/streambalancer/config.go
@@ -16,9 +16,9 @@
 	// callTimeout bounds a call to the platform, and the time without progress of one to a
 	// peer. Both answer within milliseconds; a slow platform takes a few hundred.
 	callTimeout = 1500 * time.Millisecond
-	// initialStallTimeout is the same for a peer while there is no configuration yet: callers
-	// wait, and another peer or the platform may answer sooner.
-	initialStallTimeout = 400 * time.Millisecond
+	// initialFetchTimeout bounds the time until a peer's answer begins while there is no
+	// configuration yet: callers wait, and another peer or the platform may answer sooner.
+	initialFetchTimeout = 400 * time.Millisecond
 	// initialReadTimeout bounds the first read of the configuration, plus random jitter of
 	// up to the same length. An unavailable platform may leave calls unanswered; balancers
 	// that time out at different times detect its return soon, and the first one notifies
@@ -140,18 +140,16 @@
 // fetchFromPeer gets a version later than the given one from a peer and activates it. After a
 // transfer that ended early but made progress it may go on at once, also with the same peer.
 func (b *Balancer) fetchFromPeer(ctx context.Context, from netip.AddrPort, above uint64, initial bool) bool {
-	stall := callTimeout
+	begin := callTimeout
 	if initial {
-		stall = initialStallTimeout
+		begin = initialFetchTimeout
 	}
 	received := b.transfer.Received()
-	t, err := b.fetchTable(ctx, from, above, stall)
+	t, err := b.fetchTable(ctx, from, above, begin)
 	progress := b.transfer.Received() > received
-	if err != nil && !progress {
-		b.mu.Lock()
-		b.peers.FetchFailed(b.deps.Clock.Now(), from)
-		b.mu.Unlock()
-	}
+	b.mu.Lock()
+	b.peers.Fetched(b.deps.Clock.Now(), from, err == nil || progress)
+	b.mu.Unlock()
 	return b.applyTable(t, err, "peer") || progress
 }
 
--- a/internal/process/streambalancer/peers.go
+++ b/internal/process/streambalancer/peers.go
@@ -21,9 +21,12 @@
 	maxPeers = 1024
 	// minChangeNewsInterval is the minimum interval between news about changes.
 	minChangeNewsInterval = 100 * clock.Millis(1)
-	// failedFetchBackoff is how long no version is fetched from a balancer after a failed
-	// call.
+	// failedFetchBackoff is how long other balancers are preferred after a failed call to one.
 	failedFetchBackoff = 2 * clock.Second
+	// minFetchRetry is how long no version is fetched from a balancer after a first failed
+	// call, so that the platform gets its turn; it doubles up to failedFetchBackoff.
+	minFetchRetry     = 250 * clock.Millis(1)
+	maxFetchDoublings = 3
 )
 
 // Peer is a balancer as known to another one.
@@ -66,8 +69,10 @@
 	newsSentAt     clock.Millis
 	requestedAt    clock.Millis
 	neighbourSince clock.Millis
-	// avoidUntil is the time before which no version is fetched from it.
-	avoidUntil clock.Millis
+	// fetchFailures counts the calls for a version that failed in a row, the last one at
+	// fetchFailedAt.
+	fetchFailures int
+	fetchFailedAt clock.Millis
 	// score is its rendezvous hash with this balancer; neighbours are those with the
 	// highest.
 	score uint64
@@ -255,12 +260,13 @@
 // Newest returns the live peer with the highest version, if that is above the given one. It
 // prefers peers of the local failure domain, then those with a larger share of a core.
 // Balancers select different peers where they can, because a version reaches all of them at
-// the same time. A peer to which a call has just failed is skipped, so that another one or
-// the platform is queried.
+// the same time. A peer to which a call has failed lately comes last, and is skipped for a
+// while, so that another one or the platform is queried. It is not skipped for long, as it may
+// be the only one that has the version.
 func (ps *Peers) Newest(now clock.Millis, above uint64) (*Peer, bool) {
 	var best *Peer
 	for _, p := range ps.Sorted() {
-		if p.Live(now) && now >= p.avoidUntil && p.Version > above && (best == nil || ps.compareFetchPeers(p, best) > 0) {
+		if p.Live(now) && p.mayFetch(now) && p.Version > above && (best == nil || ps.compareFetchPeers(now, p, best) > 0) {
 			best = p
 		}
 	}
@@ -269,7 +275,13 @@
 
 // compareFetchPeers compares two peers as sources of a version; the preferred one is
 // larger.
-func (ps *Peers) compareFetchPeers(a, b *Peer) int {
+func (ps *Peers) compareFetchPeers(now clock.Millis, a, b *Peer) int {
+	reliable := func(p *Peer) int {
+		if p.fetchFailures == 0 || now.Sub(p.fetchFailedAt) >= failedFetchBackoff {
+			return 1
+		}
+		return 0
+	}
 	local := func(p *Peer) int {
 		if p.Domain == ps.self.Domain {
 			return 1
@@ -277,7 +289,7 @@
 		return 0
 	}
 	return cmp.Or(
-		cmp.Compare(a.Version, b.Version), cmp.Compare(local(a), local(b)), cmp.Compare(a.CPUShare, b.CPUShare),
+		cmp.Compare(reliable(a), reliable(b)), cmp.Compare(a.Version, b.Version), cmp.Compare(local(a), local(b)), cmp.Compare(a.CPUShare, b.CPUShare),
 		cmp.Compare(a.score, b.score),
 	)
 }
@@ -309,10 +321,25 @@
 	return best
 }
 
-// FetchFailed records that a call to a balancer failed.
-func (ps *Peers) FetchFailed(now clock.Millis, a netip.AddrPort) {
-	if p := ps.known[a]; p != nil {
-		p.avoidUntil = now + failedFetchBackoff
+// mayFetch reports whether a version may be fetched from the peer.
+func (p *Peer) mayFetch(now clock.Millis) bool {
+	if p.fetchFailures == 0 {
+		return true
+	}
+	pause := min(minFetchRetry<<min(p.fetchFailures-1, maxFetchDoublings), failedFetchBackoff)
+	return now.Sub(p.fetchFailedAt) >= pause
+}
+
+// Fetched records whether a call to a balancer for a version brought something.
+func (ps *Peers) Fetched(now clock.Millis, a netip.AddrPort, ok bool) {
+	p := ps.known[a]
+	switch {
+	case p == nil:
+	case ok:
+		p.fetchFailures = 0
+	default:
+		p.fetchFailures++
+		p.fetchFailedAt = now
 	}
 }
 
--- a/internal/process/streambalancer/peers_test.go
+++ b/internal/process/streambalancer/peers_test.go
@@ -232,12 +232,12 @@
 	if !ok {
 		t.Fatal("no peer has the version")
 	}
-	ps.FetchFailed(testNow, first.Address)
+	ps.Fetched(testNow, first.Address, false)
 	second, ok := ps.Newest(testNow+1, 4)
 	if !ok || second.Address == first.Address {
 		t.Errorf("fetches from %v again", first.Address)
 	}
-	ps.FetchFailed(testNow+1, second.Address)
+	ps.Fetched(testNow+1, second.Address, false)
 	if p, ok := ps.Newest(testNow+2, 4); ok {
 		t.Errorf("fetches from %v although both calls have failed", p.Address)
 	}
@@ -301,3 +301,37 @@
 		})
 	}
 }
+
+// The only balancer with a version stalls once. It must be tried again soon, but not before
+// the platform and others had their turn, and after those that have not failed.
+func TestOnlySourceIsTriedAgainAfterFailure(t *testing.T) {
+	ps := newPeersWithNews(9, 0)
+	only := testPeer(0)
+	only.Version = 5
+	ps.Update(testNow, only)
+	now := testNow
+	for _, pause := range []clock.Millis{minFetchRetry, 2 * minFetchRetry, 4 * minFetchRetry, failedFetchBackoff, failedFetchBackoff} {
+		ps.Fetched(now, only.Address, false)
+		if _, ok := ps.Newest(now+pause-1, 4); ok {
+			t.Errorf("is tried again before %d ms", pause)
+		}
+		now += pause
+		ps.Update(now, only)
+		if _, ok := ps.Newest(now, 4); !ok {
+			t.Errorf("is not tried again after %d ms", pause)
+		}
+	}
+	ps.Fetched(now, only.Address, true)
+	if !ps.known[only.Address].mayFetch(now) {
+		t.Error("is avoided although a call has brought something")
+	}
+	ps.Fetched(now, only.Address, false)
+	now += 2 * minFetchRetry
+	ps.Update(now, only)
+	other := testPeer(1)
+	other.Version = 5
+	ps.Update(now, other)
+	if p, ok := ps.Newest(now, 4); !ok || p.Address != other.Address {
+		t.Error("a balancer that has not failed does not go first")
+	}
+}
--- a/internal/process/streambalancer/progress.go
+++ b/internal/process/streambalancer/progress.go
@@ -25,21 +25,26 @@
 // link is narrow or busy.
 type progressConn struct {
 	net.Conn
-	stall    time.Duration
-	openedAt time.Time
+	// begin is how long the first byte may take, and stall each further one.
+	begin, stall time.Duration
+	openedAt     time.Time
 	// received is the number of bytes read, and firstByte how long after openedAt the first
 	// one came, in nanoseconds.
 	received  atomic.Int64
 	firstByte atomic.Int64
 }
 
-func newProgressConn(conn net.Conn, stall time.Duration) *progressConn {
-	return &progressConn{Conn: conn, stall: stall, openedAt: time.Now()}
+func newProgressConn(conn net.Conn, begin, stall time.Duration) *progressConn {
+	return &progressConn{Conn: conn, begin: begin, stall: stall, openedAt: time.Now()}
 }
 
 // extend allows for another stall.
 func (c *progressConn) extend() error {
-	return errs.Wrap(c.SetDeadline(time.Now().Add(c.stall)))
+	wait := c.stall
+	if c.received.Load() == 0 {
+		wait = c.begin
+	}
+	return errs.Wrap(c.SetDeadline(time.Now().Add(wait)))
 }
 
 // Read implements net.Conn.
--- a/internal/process/streambalancer/table_client.go
+++ b/internal/process/streambalancer/table_client.go
@@ -29,15 +29,16 @@
 var errUnsettled = errs.New("streambalancer: the peer's version kept changing")
 
 // fetchFromPeerConn gets a version later than the given one from a peer. The call is given up
-// after stall without progress; what has arrived is kept for the next one.
-func (b *Balancer) fetchFromPeerConn(ctx context.Context, from netip.AddrPort, above uint64, stall time.Duration) (*routing.Table, error) {
+// if no answer begins in time, and later after callTimeout without progress; what has arrived
+// is kept for the next one.
+func (b *Balancer) fetchFromPeerConn(ctx context.Context, from netip.AddrPort, above uint64, begin time.Duration) (*routing.Table, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxTransferTime)
 	defer cancel()
-	conn, err := (&net.Dialer{Timeout: stall}).DialContext(ctx, "tcp4", from.String())
+	conn, err := (&net.Dialer{Timeout: begin}).DialContext(ctx, "tcp4", from.String())
 	if err != nil {
 		return nil, errs.Wrap(err)
 	}
-	progress := newProgressConn(conn, stall)
+	progress := newProgressConn(conn, begin, callTimeout)
 	rpc := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(progress), jsonrpc2.HandlerWithError(
 		func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) { return nil, nil },
 	), silentLogger)
@@ -49,6 +50,16 @@
 	return t, nil
 }
 
+// readTableFrom reads what a peer's table has and this balancer's does not, or the whole table
+// where that is not possible.
+func (b *Balancer) readTableFrom(ctx context.Context, rpc *jsonrpc2.Conn, above uint64) (*routing.Table, error) {
+	t, err := b.transferTable(ctx, rpc, b.currentTable(), above)
+	if needsWhole(err) {
+		return fetchWhole(ctx, rpc, above)
+	}
+	return t, err
+}
+
 // needsWhole reports whether the table has to be read whole: the peer does not know
 // transfers, or their result is not its table.
 func needsWhole(err error) bool {
@@ -101,13 +112,3 @@
 	}
 	return nil
 }
-
-// readTableFrom reads what a peer's table has and this balancer's does not, or the whole table
-// where that is not possible.
-func (b *Balancer) readTableFrom(ctx context.Context, rpc *jsonrpc2.Conn, above uint64) (*routing.Table, error) {
-	t, err := b.transferTable(ctx, rpc, b.currentTable(), above)
-	if needsWhole(err) {
-		return fetchWhole(ctx, rpc, above)
-	}
-	return t, err
-}
--- a/internal/process/streambalancer/table_server.go
+++ b/internal/process/streambalancer/table_server.go
@@ -69,7 +69,7 @@
 func (b *Balancer) serveTableConn(ctx context.Context, conn net.Conn) {
 	ctx, cancel := context.WithTimeout(ctx, maxTransferTime)
 	defer cancel()
-	stream := jsonrpc2.NewPlainObjectStream(newProgressConn(conn, serverStallTimeout))
+	stream := jsonrpc2.NewPlainObjectStream(newProgressConn(conn, serverStallTimeout, serverStallTimeout))
 	rpc := jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(b.handleTableRequest), silentLogger)
 	defer func() { _ = rpc.Close() }()
 	select {
