--- a/cmd/experiment/capacity.go
+++ b/cmd/experiment/capacity.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"os"
 	"path/filepath"
 	"time"
@@ -17,6 +18,7 @@
 	Window    time.Duration `help:"Duration of the fleet measurement." default:"20s"`
 	Idle      float64       `help:"Resident memory of an idle daemon in bytes, as ps shows it." default:"24805376"`
 	Daemons   string        `help:"File with the output of bench/daemons, for the page."`
+	Only      []string      `help:"Slopes to measure; the other inputs stay as they were."`
 	Write     string        `help:"Directory to write the pages to; printed if empty."`
 }
 
@@ -27,6 +29,9 @@
 
 // Run measures capacity and writes the page.
 func (c *capacityCommand) Run() error {
+	if len(c.Only) > 0 {
+		return c.measureSome()
+	}
 	in, err := capacity.Measure(progress)
 	if err != nil {
 		return err
@@ -54,6 +59,23 @@
 	return writeCapacity(c.Write, in)
 }
 
+// measureSome measures some slopes and makes the page from these and the other inputs.
+func (c *capacityCommand) measureSome() error {
+	in, err := capacity.Measure(progress, c.Only...)
+	if err != nil {
+		return err
+	}
+	if c.Write == "" {
+		return nil
+	}
+	var all capacity.Inputs
+	if err := readJSON(filepath.Join(c.Write, "capacity.json"), &all); err != nil {
+		return err
+	}
+	maps.Copy(all.Slopes, in.Slopes)
+	return writeCapacity(c.Write, &all)
+}
+
 func readJSON(file string, into any) error {
 	data, err := os.ReadFile(file)
 	if err != nil {
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -7,8 +7,11 @@
 	"net"
 	"net/netip"
 	"runtime"
+	"slices"
 	"syscall"
 
+	"github.com/zeebo/errs"
+
 	"github.com/wagtailtray/wagtailtray/internal/process/control"
 	"github.com/wagtailtray/wagtailtray/internal/process/member"
 	"github.com/wagtailtray/wagtailtray/internal/request/envelope"
@@ -42,6 +45,11 @@
 	RelayReads     = "relayreads"
 	Read           = "read"
 	Watch          = "watch"
+
+	TableChangeBytes = "tablebytes"
+	TableChangeTime  = "tabletime"
+	WholeTableBytes  = "wholebytes"
+	WholeTableTime   = "wholetime"
 )
 
 var (
@@ -56,10 +64,22 @@
 	measure    func(size int) (float64, error)
 }
 
-// Measure measures all slopes and reports each to progress.
-func Measure(progress func(string, ...any)) (*Inputs, error) {
+// ErrUnknownSlope means that there is no slope with a name.
+var ErrUnknownSlope = errs.New("capacity: unknown slope")
+
+// Measure measures the slopes with the names given, or all, and reports each to progress.
+func Measure(progress func(string, ...any), names ...string) (*Inputs, error) {
 	in := &Inputs{Slopes: map[string]Slope{}}
-	for _, p := range slopeMeasurements() {
+	all := slopeMeasurements()
+	for _, name := range names {
+		if !slices.ContainsFunc(all, func(m slopeMeasurement) bool { return m.name == name }) {
+			return nil, errs.Combine(ErrUnknownSlope, errs.New("%s", name))
+		}
+	}
+	for _, p := range all {
+		if len(names) > 0 && !slices.Contains(names, p.name) {
+			continue
+		}
 		var points []Point
 		for _, size := range p.sizes {
 			v, err := p.measure(size)
@@ -83,6 +103,7 @@
 	calls := []int{500, 1000, 2000, 4000}
 	changes := []int{5, 10, 20, 40}
 	services := []int{150, 300, 600, 1200}
+	tables := []int{400, 1400, 3300, 6600}
 	return []slopeMeasurement{
 		{Hint, "bytes of heap a flow that a balancer has a hint for", []int{8192, 16384, 32768, 65536}, hintBytes},
 		{Flow, "bytes of heap a flow at its agent, with its socket", flows, flowBytes},
@@ -105,6 +126,10 @@
 		{ApprovalTime, "ns of processor time a service for an approval, both ends", services, approvalTime},
 		{RelayReads, "reads a change at a relay", changes, relayReads},
 		{Read, "ns of processor time a read of the platform, both ends", calls, readTime},
+		{TableChangeBytes, "bytes a listener of the table, for a change of one", tables, tableChangeBytes},
+		{TableChangeTime, "ns of processor time a listener of the table, for a change of one, both ends", tables, tableChangeTime},
+		{WholeTableBytes, "bytes a listener of a table read whole", tables, wholeTableBytes},
+		{WholeTableTime, "ns of processor time a listener of a table read whole, both ends", tables, wholeTableTime},
 		{Watch, "bytes of heap and stacks a waiting watch, both ends", []int{32, 64, 128, 256}, watchBytes},
 	}
 }
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -19,6 +19,7 @@
 	writeClients(&b, in)
 	writeFleet(&b, in)
 	writeCheckpoints(&b)
+	writeTables(&b, in)
 	b.WriteString(mechanismsText)
 	writeMemory(&b, in)
 	writeSweeps(&b, in)
