--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -8,7 +8,9 @@
 //
 //   - the edge socket receives callers' packets;
 //   - the parcel socket exchanges parcels with agents and other balancers;
-//   - a TCP listener on the same port serves the routing table to other balancers;
+//   - a TCP listener on the same port serves the routing table to other balancers, which get
+//     what theirs lacks (package replication); one that lacks a version for too long hands
+//     openings to others;
 //   - one balancer of each failure domain watches the configuration in the platform and
 //     notifies the others (watch.go). It also watches the evacuations and stores checkpoints,
 //     or announces that the platform does not answer it, and another one does that
--- a/internal/process/streambalancer/progress.go
+++ b/internal/process/streambalancer/progress.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"sync/atomic"
 	"time"
@@ -84,5 +83,3 @@
 	return fmt.Sprintf("%d bytes in %d ms, the first after %d ms", c.received.Load(),
 		time.Since(c.openedAt).Milliseconds(), time.Duration(c.firstByte.Load()).Milliseconds())
 }
-
-var _ io.ReadWriteCloser = (*progressConn)(nil)
--- a/internal/version/routing/index.go
+++ b/internal/version/routing/index.go
@@ -36,38 +36,48 @@
 // hashes, which ascend, and additional listeners by their encoding. Nothing of the base is
 // copied.
 func NewTable(head *wire.TableHead, base *Table, hashes []uint64, added map[uint64][]byte) (*Table, error) {
+	entries, err := joinEntries(base, hashes, added)
+	if err != nil {
+		return nil, err
+	}
 	t := decodeHead(head)
-	t.entries = make([]entry, 0, len(hashes))
-	t.Listeners = make([]*Listener, 0, len(hashes))
+	t.entries = entries
+	t.Listeners = make([]*Listener, 0, len(entries))
+	for i := range entries {
+		t.Listeners = append(t.Listeners, entries[i].listener)
+	}
+	t.buildDigests()
+	if err := t.checkRules(); err != nil {
+		return nil, err
+	}
+	if len(t.entries) != len(t.Listeners) {
+		return nil, fmt.Errorf("%w: listeners with the same address", ErrInvalid)
+	}
+	return t, nil
+}
+
+// joinEntries returns the entries with the hashes: those of the base, and the ones added.
+func joinEntries(base *Table, hashes []uint64, added map[uint64][]byte) ([]entry, error) {
 	var rest []entry
 	if base != nil {
 		rest = base.entries
 	}
+	entries := make([]entry, 0, len(hashes))
 	for _, h := range hashes {
 		for len(rest) > 0 && rest[0].hash < h {
 			rest = rest[1:]
 		}
-		var e entry
 		if len(rest) > 0 && rest[0].hash == h {
-			e = rest[0]
-		} else {
-			l, err := decodeListener(added[h])
-			if err != nil {
-				return nil, err
-			}
-			e = entry{hash: h, encoded: added[h], listener: l}
+			entries = append(entries, rest[0])
+			continue
 		}
-		t.entries = append(t.entries, e)
-		t.Listeners = append(t.Listeners, e.listener)
-	}
-	t.buildDigests()
-	if err := t.checkRules(); err != nil {
-		return nil, err
-	}
-	if len(t.entries) != len(t.Listeners) {
-		return nil, fmt.Errorf("%w: listeners with the same address", ErrInvalid)
+		l, err := decodeListener(added[h])
+		if err != nil {
+			return nil, err
+		}
+		entries = append(entries, entry{hash: h, encoded: added[h], listener: l})
 	}
-	return t, nil
+	return entries, nil
 }
 
 // buildEntries encodes the listeners.
