An answer of the store that is arriving renews the watch

A configuration of 1.3 MB fills a link of 10 Mbit/s for a second and more; pings are late or lost beside it, and the end of the lease threw away what had come and left the watch to the next balancer, with the same in store for it. Bytes of the answer are an answer: they renew the lease now. TestArrivingAnswerRenewsWatch fails without that (version 4 after 1.7 s). Not seen by callers. In the fakes of other tests only the signature changed.

--- a/internal/process/streambalancer/balancer.go
+++ b/internal/process/streambalancer/balancer.go
@@ -69,8 +69,9 @@
 	// Read returns the current version.
 	Read(ctx context.Context) (*routing.Table, error)
 	// Wait returns the next change after a revision. The platform is to hold the call for
-	// WaitHold; slack is how much longer its answer may take.
-	Wait(ctx context.Context, revision uint64, slack time.Duration) (Change, error)
+	// WaitHold; slack is how much longer its answer may take to begin. While it arrives,
+	// receiving is called again and again.
+	Wait(ctx context.Context, revision uint64, slack time.Duration, receiving func()) (Change, error)
 	// Ping makes a cheap call, to learn whether the store answers: unless it returns
 	// platform.ErrUnavailable, the store has answered.
 	Ping(ctx context.Context) error
--- a/internal/process/streambalancer/evacuations_test.go
+++ b/internal/process/streambalancer/evacuations_test.go
@@ -182,7 +182,7 @@
 
 func (unreadableSource) Ping(context.Context) error { return nil }
 
-func (unreadableSource) Wait(context.Context, uint64, time.Duration) (Change, error) {
+func (unreadableSource) Wait(context.Context, uint64, time.Duration, func()) (Change, error) {
 	return Change{}, routing.ErrInvalid
 }
 
--- a/internal/process/streambalancer/slow_link_test.go
+++ b/internal/process/streambalancer/slow_link_test.go
@@ -70,7 +70,7 @@
 	return nil, platform.ErrUnavailable
 }
 
-func (absentSource) Wait(context.Context, uint64, time.Duration) (Change, error) {
+func (absentSource) Wait(context.Context, uint64, time.Duration, func()) (Change, error) {
 	return Change{}, platform.ErrUnavailable
 }
 
@@ -258,3 +258,37 @@
 		t.Errorf("from the last build: %+v, %v", got, err)
 	}
 }
+
+// arrivingSource is a platform whose answer to a wait fills the link: it arrives for a while,
+// and pings are lost beside it.
+type arrivingSource struct {
+	absentSource
+	table *routing.Table
+}
+
+func (s arrivingSource) Wait(ctx context.Context, _ uint64, _ time.Duration, receiving func()) (Change, error) {
+	for range 30 {
+		select {
+		case <-ctx.Done():
+			return Change{}, platform.ErrUnavailable
+		case <-time.After(100 * time.Millisecond):
+			receiving()
+		}
+	}
+	return Change{Table: s.table, Revision: s.table.Revision}, nil
+}
+
+// The watcher's answer takes longer than its lease. Cut off by the watch that renews itself by
+// pings only, the answer would be asked for again and again, by one watcher after the other.
+func TestArrivingAnswerRenewsWatch(t *testing.T) {
+	t.Parallel()
+	b := newBalancer(Settings{Name: "b", Domain: "d", Parcels: peerAddress(0), FlowTTL: clock.Minute},
+		Deps{Source: arrivingSource{table: largeTable(t, 9, 1, 0)}, Clock: clock.System(), Log: zerolog.Nop(), Scope: tally.NoopScope}, 1)
+	b.parcelSender = discard{}
+	first := largeTable(t, 4, 1, 0)
+	activate(b, first)
+	b.setWatching(true)
+	if _, ok := b.watchTable(t.Context(), first); !ok || b.currentTable().Version != 9 || !b.watching {
+		t.Errorf("version %d, watching %v", b.currentTable().Version, b.watching)
+	}
+}
--- a/internal/process/streambalancer/wake_test.go
+++ b/internal/process/streambalancer/wake_test.go
@@ -18,7 +18,7 @@
 	waits, cancelled int
 }
 
-func (s *patientSource) Wait(ctx context.Context, revision uint64, _ time.Duration) (Change, error) {
+func (s *patientSource) Wait(ctx context.Context, revision uint64, _ time.Duration, _ func()) (Change, error) {
 	s.waits++
 	select {
 	case <-ctx.Done():
--- a/internal/process/streambalancer/watch.go
+++ b/internal/process/streambalancer/watch.go
@@ -111,13 +111,16 @@
 // The wait starts from the revision at which the last one ended. The version's own revision
 // may have been dropped from the platform's history, and waits from there would fail at
 // once.
+//
+// An answer that is arriving renews the watch as well as a ping does: it may fill a narrow link
+// for seconds, and pings get lost beside it.
 func (b *Balancer) watchTable(ctx context.Context, current *routing.Table) (time.Duration, bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go b.cancelOnWake(ctx, cancel)
 	go b.renewWatch(ctx, cancel)
 	slack := b.currentTimeout(clock.FromDuration(WaitSlack))
-	change, err := b.deps.Source.Wait(ctx, max(b.seenRevision, current.Revision), slack)
+	change, err := b.deps.Source.Wait(ctx, max(b.seenRevision, current.Revision), slack, func() { b.setWatching(true) })
 	if ctx.Err() != nil {
 		return 0, true
 	}
--- a/internal/process/streambalancer/watch_fleet_test.go
+++ b/internal/process/streambalancer/watch_fleet_test.go
@@ -181,7 +181,7 @@
 	return &routing.Table{Version: v, Revision: v}, err
 }
 
-func (c storeClient) Wait(ctx context.Context, revision uint64, slack time.Duration) (Change, error) {
+func (c storeClient) Wait(ctx context.Context, revision uint64, slack time.Duration, _ func()) (Change, error) {
 	v, err := c.wait(ctx, revision, slack)
 	if err != nil || v == 0 {
 		return Change{Revision: revision}, err
