--- a/review/_standins-2/client.go
+++ b/review/_standins-2/client.go
@@ -102,10 +102,10 @@
 }
 
 // run opens one flow after the other until the context ends, and sends requests on each with
-// pauses. A client keeps a flow for the given number of requests.
+// pauses. A client keeps a flow for the given number of requests on average.
 func (c *clientHost) run(ctx context.Context, requests int, pause time.Duration) {
 	for ctx.Err() == nil {
-		c.runFlow(ctx, requests, pause)
+		c.runFlow(ctx, 1+rand.N(2*requests), pause)
 		sleep(ctx, pause/2+rand.N(pause))
 	}
 }
--- a/review/_standins-2/lateheartbeat.go
+++ b/review/_standins-2/lateheartbeat.go
@@ -106,25 +106,24 @@
 	}
 }
 
-// deliver sends the first call that was held to the machine, and returns how many were held.
+// deliver sends the calls that were held to the machine, and returns how many were.
 func (p *slowPath) deliver(rec *record) int {
 	p.mu.Lock()
 	held := p.held
 	p.held = nil
 	p.mu.Unlock()
-	if len(held) == 0 {
-		return 0
-	}
-	out, err := net.DialTCP("tcp4", nil, net.TCPAddrFromAddrPort(p.to))
-	if err != nil {
-		return 0
+	for i, call := range held {
+		out, err := net.DialTCP("tcp4", nil, net.TCPAddrFromAddrPort(p.to))
+		if err != nil {
+			return i
+		}
+		_, _ = out.Write(call)
+		_ = out.SetReadDeadline(time.Now().Add(time.Second))
+		b := make([]byte, 512)
+		n, _ := out.Read(b)
+		_ = out.Close()
+		rec.say("a heartbeat of the earlier incarnation arrives late; the answer is %q", firstLine(b[:n]))
 	}
-	defer func() { _ = out.Close() }()
-	_, _ = out.Write(held[0])
-	_ = out.SetReadDeadline(time.Now().Add(time.Second))
-	b := make([]byte, 512)
-	n, _ := out.Read(b)
-	rec.say("a heartbeat of the earlier incarnation arrives late; the answer is %q", firstLine(b[:n]))
 	return len(held)
 }
 
@@ -140,6 +139,15 @@
 // lateHeartbeat shows what happens to the open flows of a target if its agent, which was just
 // restarted as planned, first gets a delayed heartbeat of the target's earlier incarnation.
 func lateHeartbeat(rec *record, trouble bool) (int, error) {
+	return runLateHeartbeat(rec, trouble, 0)
+}
+
+// lateHeartbeats is the same with several delayed heartbeats.
+func lateHeartbeats(rec *record, trouble bool) (int, error) {
+	return runLateHeartbeat(rec, trouble, 3500*time.Millisecond)
+}
+
+func runLateHeartbeat(rec *record, trouble bool, liveTime time.Duration) (int, error) {
 	d, err := newDeployment(rec)
 	if err != nil {
 		return notRun, err
@@ -165,7 +173,7 @@
 	if !d.awaitRotation(15 * time.Second) {
 		return notRun, errors.New("the balancers are not in rotation")
 	}
-	x := &lateHeartbeatRun{d: d, path: path, control: control, trouble: trouble}
+	x := &lateHeartbeatRun{d: d, path: path, control: control, trouble: trouble, liveTime: liveTime}
 	if err := d.startClients(2, 20, 20, 400*time.Millisecond, x.judge); err != nil {
 		return notRun, err
 	}
@@ -178,6 +186,9 @@
 	path    *slowPath
 	control controlAddress
 	trouble bool
+	// liveTime is how long the first incarnation lives behind the partition; zero for a single
+	// heartbeat.
+	liveTime time.Duration
 
 	mu sync.Mutex
 	// second is the target's second incarnation, and watched is set from the restart of its
@@ -215,13 +226,9 @@
 	first, agent := d.targets[0], d.agents[0]
 	rec.say("a partition begins between the target %s and the daemon beside it: trouble %v", first.id, x.trouble)
 	x.path.setCut(x.trouble)
-	body := first.body()
-	rec.printf("heartbeat of %s is sent: %s", first.id, body)
-	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
-	_, _ = post(ctx, first.client, first.control, "/api/Instances.Heartbeat/"+first.id, body)
-	cancel()
+	x.live(first)
 	first.crash()
-	time.Sleep(partitionTime)
+	time.Sleep(partitionTime - x.liveTime)
 	x.path.setCut(false)
 	rec.say("the partition has ended; the target starts again")
 	second := d.newTarget(0, 2, x.control)
@@ -248,6 +255,20 @@
 	return x.result(), nil
 }
 
+// live lets the first incarnation live behind the partition: it sends one heartbeat, or goes on
+// with its heartbeats for liveTime.
+func (x *lateHeartbeatRun) live(first *target) {
+	if x.liveTime > 0 {
+		time.Sleep(x.liveTime)
+		return
+	}
+	body := first.body()
+	x.d.rec.printf("heartbeat of %s is sent: %s", first.id, body)
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	_, _ = post(ctx, first.client, first.control, "/api/Instances.Heartbeat/"+first.id, body)
+}
+
 func drain(c chan struct{}) {
 	for {
 		select {
--- a/review/_standins-2/main.go
+++ b/review/_standins-2/main.go
@@ -30,7 +30,8 @@
 
 // cases are the cases by their names.
 var cases = map[string]func(rec *record, trouble bool) (int, error){
-	"late-heartbeat": lateHeartbeat,
+	"late-heartbeat":  lateHeartbeat,
+	"late-heartbeats": lateHeartbeats,
 }
 
 func main() {
