--- a/review/_standins-2/deployment.go
+++ b/review/_standins-2/deployment.go
@@ -31,6 +31,8 @@
 	heartbeatMS = 1200
 	// restartDelay is the pause before a process that has ended starts again.
 	restartDelay = 200 * time.Millisecond
+	// graceTime is graceS.
+	graceTime = 6 * time.Second
 )
 
 var zones = []string{"tln-a", "tln-b", "tln-c"}
@@ -322,6 +324,22 @@
 	_ = p.cmd.Process.Signal(s)
 }
 
+// leave ends the process as planned: SIGTERM, and SIGKILL after graceS. It is not started again.
+func (p *process) leave() {
+	p.mu.Lock()
+	p.closing = true
+	ended := p.ended
+	p.mu.Unlock()
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-ended:
+	case <-time.After(graceTime):
+		p.signal(syscall.SIGKILL)
+		<-ended
+	}
+	p.rec.printf("%s has left", p.name)
+}
+
 // close ends the process for good.
 func (p *process) close() {
 	if p == nil {
--- a/review/_standins-2/fabric.go
+++ b/review/_standins-2/fabric.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,7 +40,10 @@
 func (f *fabric) run(ctx context.Context) {
 	client := &http.Client{Timeout: probeInterval, Transport: &http.Transport{DisableKeepAlives: true}}
 	for ctx.Err() == nil {
-		for _, b := range f.balancers {
+		f.mu.Lock()
+		all := slices.Clone(f.balancers)
+		f.mu.Unlock()
+		for _, b := range all {
 			go f.probe(ctx, client, b)
 		}
 		sleep(ctx, probeInterval)
@@ -77,24 +81,42 @@
 	return n
 }
 
-// pick returns the balancer to which packets of a flow go. If fewer than half of a zone's are in
-// rotation, all of them are used.
-func (f *fabric) pick(zone string, id flowID) (netip.AddrPort, bool) {
+// remove takes a machine that leaves out of the deployment.
+func (f *fabric) remove(edge netip.AddrPort) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var all, ready []*fabricBalancer
+	f.balancers = slices.DeleteFunc(f.balancers, func(b *fabricBalancer) bool { return b.edge == edge })
+}
+
+// candidates returns the balancers that get the packets of a zone. If fewer than half of the
+// zone's are in rotation, all of them are used; if none is, those of the other zones.
+func (f *fabric) candidates(zone string) []*fabricBalancer {
+	var all, ready, others []*fabricBalancer
 	for _, b := range f.balancers {
-		if b.zone != zone {
-			continue
-		}
-		all = append(all, b)
-		if b.misses < maxMisses {
-			ready = append(ready, b)
+		inRotation := b.misses < maxMisses
+		switch {
+		case b.zone == zone && inRotation:
+			all, ready = append(all, b), append(ready, b)
+		case b.zone == zone:
+			all = append(all, b)
+		case inRotation:
+			others = append(others, b)
 		}
 	}
-	if 2*len(ready) < len(all) {
-		ready = all
+	switch {
+	case len(ready) == 0:
+		return others
+	case 2*len(ready) < len(all):
+		return all
 	}
+	return ready
+}
+
+// pick returns the balancer to which packets of a flow go.
+func (f *fabric) pick(zone string, id flowID) (netip.AddrPort, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ready := f.candidates(zone)
 	var best *fabricBalancer
 	highest := uint64(0)
 	for _, b := range ready {
--- a/review/_standins-2/main.go
+++ b/review/_standins-2/main.go
@@ -30,6 +30,7 @@
 
 // cases are the cases by their names.
 var cases = map[string]func(rec *record, trouble bool) (int, error){
+	"unlisted-target": unlistedTarget,
 	"late-heartbeat":  lateHeartbeat,
 	"late-heartbeats": lateHeartbeats,
 }
