--- a/review/_standins-2/lateheartbeat.go
+++ b/review/_standins-2/lateheartbeat.go
@@ -252,6 +252,7 @@
 		return notRun, errors.New("no heartbeat was delayed")
 	}
 	time.Sleep(watchTime)
+	d.traceLogs(agent)
 	return x.result(), nil
 }
 
--- a/review/_standins-2/unlistedtarget.go
+++ b/review/_standins-2/unlistedtarget.go
@@ -10,11 +10,11 @@
 // Times of the case. One machine at a time is taken away, as long after the one before as the
 // shortest pause between steps of planned work on the site's standard days.
 const (
-	removalGap = 1200 * time.Millisecond
+	removalGap = 1100 * time.Millisecond
 	// joinLead is how long before the last removal the new target starts.
 	joinLead = 300 * time.Millisecond
 	// restartAfter is how long after the last removal the frontend that stays is restarted.
-	restartAfter = 300 * time.Millisecond
+	restartAfter = removalGap
 	// observeTime is how long clients are watched after that.
 	observeTime = 14 * time.Second
 )
@@ -44,7 +44,7 @@
 		return notRun, errors.New("the balancers are not in rotation")
 	}
 	x := &unlistedTargetRun{d: d}
-	if err := d.startClients(2, 150, 4, 4*time.Second, x.judge); err != nil {
+	if err := d.startClients(2, 240, 4, 4*time.Second, x.judge); err != nil {
 		return notRun, err
 	}
 	return x.run(trouble)
@@ -97,6 +97,7 @@
 	rec.say("planned work: %s is stopped and started", d.balancers[stayingBalancer].name)
 	d.balancers[stayingBalancer].signal(syscall.SIGTERM)
 	time.Sleep(observeTime)
+	d.traceLogs(d.balancers[stayingBalancer], d.balancers[last], d.agents[len(d.agents)-1])
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	sent, answered, resets, failed := d.totals()
