Agents decide on lookups in a pure type

The loop of the lookups mixed waiting, reading and deciding, so a simulated fleet could not use the decision. No change of behaviour: the tests of lookups pass as they were.

--- a/internal/process/streamagent/agent.go
+++ b/internal/process/streamagent/agent.go
@@ -44,12 +44,6 @@
 	// keeperTimeout is how long after the last probe of a balancer that stores
 	// checkpoints no such balancer counts as present.
 	keeperTimeout = 2 * clock.Second
-	// lookupInterval is how often balancers are looked up in the directory while none
-	// probes this target. After a failed lookup the delay starts at minLookupRetryDelay
-	// and doubles, and after a lookup of an abandoned agent at minAbandonedDelay.
-	lookupInterval      = 5 * clock.Second
-	minLookupRetryDelay = 200 * clock.Millis(1)
-	minAbandonedDelay   = clock.Second
 )
 
 // Finder looks up the balancers to report to.
--- a/internal/process/streamagent/lookup.go
+++ b/internal/process/streamagent/lookup.go
@@ -38,46 +38,27 @@
 	}
 }
 
-// runLookups looks up balancers while none probes this target. A failed lookup is retried
-// soon: after a loss of power only the platform knows the balancers' addresses.
-//
-// The directory's cheap lists may be many seconds old. If all balancers were replaced they
-// name only those that have left, and flows wait until the agent is known to the new ones;
-// so an abandoned agent reads a current list.
+// runLookups looks up balancers while none probes this target; see Lookups.
 func (a *Agent) runLookups(ctx context.Context) {
-	delay, retry, abandonedDelay := clock.Millis(0), minLookupRetryDelay, minAbandonedDelay
+	lookups, delay := NewLookups(), clock.Millis(0)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(delay.Duration()):
 		}
-		unprobed, rest := a.unprobed()
-		abandoned := rest <= 0
-		if !abandoned {
-			abandonedDelay = minAbandonedDelay
-		}
-		switch {
-		case !unprobed:
-			delay, retry = clock.Second, minLookupRetryDelay
-		case !a.lookUpBalancers(ctx, abandoned):
-			delay, retry = retry/2+rand.N(retry/2), min(2*retry, lookupInterval)
-		case abandoned:
-			delay, retry = abandonedDelay/2+rand.N(abandonedDelay), minLookupRetryDelay
-			abandonedDelay = min(2*abandonedDelay, lookupInterval)
-		default:
-			delay, retry = min(rest, lookupInterval), minLookupRetryDelay
-		}
+		due := a.dueLookup(lookups)
+		answered := due == NoLookup || a.lookUpBalancers(ctx, due == CurrentLookup)
+		a.mu.Lock()
+		delay = lookups.Delay(a.deps.Clock.Now(), a.balancers, due, answered, rand.Float64())
+		a.mu.Unlock()
 	}
 }
 
-// unprobed reports whether no balancer probes this target, and how long until the agent
-// counts as abandoned.
-func (a *Agent) unprobed() (unprobed bool, untilAbandoned clock.Millis) {
+func (a *Agent) dueLookup(lookups *Lookups) Lookup {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := a.deps.Clock.Now()
-	return a.balancers.Unprobed(now), a.balancers.UntilAbandoned(now)
+	return lookups.Due(a.deps.Clock.Now(), a.balancers)
 }
 
 // lookUpBalancers looks up balancers, in a current list or in one that may be stale, and
