--- a/internal/connection/checkpoint/sender.go
+++ b/internal/connection/checkpoint/sender.go
@@ -33,9 +33,14 @@
 	// listed is set if the store has an entry of the target that was written after listedAt.
 	listed   bool
 	listedAt clock.Millis
-	// sent is the entry that was sent last, with its number.
-	sent         Entry
-	number       uint32
+	// sent is the entry that was sent last, with its number and the time.
+	sent      Entry
+	sentAt    clock.Millis
+	number    uint32
+	checkedAt clock.Millis
+	// storedAt is when the last entry that is known to be in the store was sent; zero if
+	// none is.
+	storedAt     clock.Millis
 	nextDue      clock.Millis
 	sendInterval clock.Millis
 }
@@ -50,7 +55,7 @@
 	if now < s.nextDue {
 		return false
 	}
-	s.nextDue = now + s.sendInterval
+	s.nextDue, s.checkedAt = now+s.sendInterval, now
 	if now.Sub(s.listedAt) > listedTTL {
 		s.listed, s.listedAt = false, now
 	}
@@ -59,7 +64,13 @@
 
 // Forget records that the target has left, and that keepers remove its entry.
 func (s *Sender) Forget() {
-	s.listed = false
+	s.listed, s.storedAt = false, 0
+}
+
+// Listed reports whether the store surely lists the target. ttl is how long keepers retain
+// an entry.
+func (s *Sender) Listed(now, ttl clock.Millis) bool {
+	return s.storedAt != 0 && now.Sub(s.storedAt) <= ttl
 }
 
 // NeedsSend reports whether an entry is to be sent. A flow that has ended is no reason
@@ -80,7 +91,7 @@
 // Parts splits an entry that is sent now. If there are too many flows, it has those that
 // were used last; flows are in the order of their last use.
 func (s *Sender) Parts(e *Entry) []*wire.Checkpoint {
-	s.sent = *e
+	s.sent, s.sentAt = *e, s.checkedAt
 	s.sent.Flows = e.Flows.Last(maxFlows)
 	s.number++
 	var parts []*wire.Checkpoint
@@ -109,7 +120,7 @@
 		return false
 	}
 	s.sendInterval = min(max(writeInterval/2, minSendInterval), maxSendInterval)
-	s.storedBorn, s.listed = s.sent.Born, true
+	s.storedBorn, s.listed, s.storedAt = s.sent.Born, true, s.sentAt
 	clear(s.storedAcks)
 	for f := range s.sent.Flows.All() {
 		s.storedAcks[f.ID] = f.Ack
--- a/internal/connection/stream/report.go
+++ b/internal/connection/stream/report.go
@@ -13,6 +13,11 @@
 // knows.
 const ReportInterval = clock.Second
 
+// DiscoveryTime is the maximum time until an agent that no balancer of its failure domain
+// probes has found and reported to each balancer in the directory, if its target may hold
+// flows and is not listed by the store.
+const DiscoveryTime = 2 * clock.Second
+
 // latencyWeight is the weight of the last request in the mean latency, which thus covers
 // some tens of requests, a second of a busy target.
 const latencyWeight = 0.05
--- a/internal/connection/stream/restore.go
+++ b/internal/connection/stream/restore.go
@@ -79,6 +79,14 @@
 	}
 }
 
+// Unlisted reports whether the target may hold flows although the store is not known to list
+// it. Balancers that start then learn of it from this agent alone.
+func (tr *Tracker) Unlisted(now clock.Millis) bool {
+	c := &tr.checkpoints
+	mayHold := tr.flows.Len() > 0 || !tr.knowsAllFlows(now)
+	return c.enabled && !tr.upstream.gone && mayHold && !c.sender.Listed(now, tr.settings.FlowTTL)
+}
+
 // Restore sets the checkpoint that an earlier process stored, or nil if there is none. wall
 // is the VM's clock in Unix milliseconds.
 func (tr *Tracker) Restore(now clock.Millis, wall int64, e *checkpoint.Entry) {
--- a/internal/connection/stream/restore_test.go
+++ b/internal/connection/stream/restore_test.go
@@ -209,3 +209,40 @@
 		}
 	}
 }
+
+// A balancer that starts takes from the store which targets there are. An agent must know
+// when its target holds flows and is missing there: not stored yet, or expired.
+func TestTargetWithFlowsIsUnlistedUntilStored(t *testing.T) {
+	tr := newRestartedTracker()
+	tr.Restore(testNow, testWallClock, nil)
+	sendHeartbeat(tr, testNow, 900, 1)
+	check := func(what string, now clock.Millis, want bool) {
+		t.Helper()
+		if got := tr.Unlisted(now); got != want {
+			t.Errorf("%s: unlisted %v", what, got)
+		}
+	}
+	check("no flow was opened", testNow+5, false)
+	openFlow(tr, testNow+10, 1)
+	check("a flow is open", testNow+20, true)
+	sendHeartbeat(tr, testNow+1000, 900, 2)
+	sent := testNow + 1100
+	tr.HandleParcel(sent, testAddress(1, 0), &wire.Parcel{Verb: wire.Verb_VERB_PROBE, Report: &wire.Report{Keeper: true}}, nil)
+	tr.sendCheckpoint(sent)
+	check("the keeper has not answered", sent+100, true)
+	tr.HandleParcel(sent+200, testAddress(1, 0), &wire.Parcel{Verb: wire.Verb_VERB_KEPT, Checkpoint: &wire.Checkpoint{Number: 1}}, nil)
+	check("the keeper has stored it", sent+200, false)
+	check("the entry may have expired", sent+testFlowTTL+1, true)
+	tr.RecordLeave(sent + 300)
+	check("the target has left", sent+300, false)
+}
+
+// An agent that was restarted has not seen the target's flows; until the store lists it again,
+// it must count as holding some.
+func TestRestartedAgentIsUnlisted(t *testing.T) {
+	tr := newRestartedTracker()
+	sendHeartbeat(tr, testNow, 900, 40)
+	if !tr.Unlisted(testNow + 10) {
+		t.Error("counts as listed")
+	}
+}
--- a/internal/process/streamagent/agent.go
+++ b/internal/process/streamagent/agent.go
@@ -310,6 +310,7 @@
 		a.mu.Lock()
 		now := a.deps.Clock.Now()
 		a.tracker.Tick(now)
+		a.updateUnlisted(now)
 		a.tracker.SendReport(now, a.balancers.DueForReport(now, a.tracker.Loaded()))
 		dialDue := a.tracker.DialDue(now)
 		a.flush()
@@ -321,6 +322,14 @@
 	}
 }
 
+// updateUnlisted passes on whether the store lists the target. The caller holds a.mu.
+func (a *Agent) updateUnlisted(now clock.Millis) {
+	unlisted := a.tracker.Unlisted(now)
+	if a.balancers.SetUnlisted(unlisted) {
+		a.deps.Log.Info().Str("event", "unlisted").Bool("unlisted", unlisted).Int("flows", a.tracker.Flows()).Send()
+	}
+}
+
 // Kill closes the sockets without notifying anyone, like a loss of power.
 func (a *Agent) Kill() error {
 	a.cancel()
--- a/internal/process/streamagent/balancers.go
+++ b/internal/process/streamagent/balancers.go
@@ -27,6 +27,9 @@
 	// domain counts as having no balancer: balancers probe targets of services without
 	// flows every five seconds.
 	localBalancerTimeout = 6 * clock.Second
+	// unlistedPatience replaces localBalancerTimeout for an agent whose target is not listed
+	// by the store: a balancer that starts learns of the target from nobody else.
+	unlistedPatience = stream.DiscoveryTime - lookupTime - unlistedCheckInterval
 	// minUnprobedTime is the minimum time without a probe after which a target counts as
 	// unprobed.
 	minUnprobedTime = 2 * clock.Second
@@ -69,6 +72,8 @@
 	// one of the agent's own failure domain; zero if there was none.
 	lastProbe      clock.Millis
 	lastLocalProbe clock.Millis
+	// unlisted is set while the target may hold flows and the store does not list it.
+	unlisted bool
 	// lastTurn is when nextInTurn last returned a balancer.
 	lastTurn clock.Millis
 }
@@ -144,15 +149,34 @@
 	return ""
 }
 
-// NoLocalBalancer reports whether no balancer of the agent's own failure domain has
-// probed within localBalancerTimeout.
+// SetUnlisted sets whether the target may hold flows while the store does not list it, and
+// reports whether that has changed.
+//
+// Balancers that restart or replace others take from the store which targets there are, so
+// only agents that are listed may wait for probes without reporting.
+func (bs *Balancers) SetUnlisted(unlisted bool) bool {
+	changed := bs.unlisted != unlisted
+	bs.unlisted = unlisted
+	return changed
+}
+
+// NoLocalBalancer reports whether the agent's own failure domain counts as having no
+// balancer, as none has probed for a while.
 func (bs *Balancers) NoLocalBalancer(now clock.Millis) bool {
-	return now.Sub(max(bs.lastLocalProbe, bs.startedAt)) > localBalancerTimeout
+	patience := localBalancerTimeout
+	if bs.unlisted && bs.lastLocalProbe != 0 {
+		patience = unlistedPatience
+	}
+	return now.Sub(max(bs.lastLocalProbe, bs.startedAt)) > patience
 }
 
 // Unprobed reports whether no balancer of any failure domain has probed recently.
 func (bs *Balancers) Unprobed(now clock.Millis) bool {
-	return bs.lastProbe == 0 || now.Sub(bs.lastProbe) > max(bs.shortestProbeInterval()*3/2, minUnprobedTime)
+	least := minUnprobedTime
+	if bs.unlisted {
+		least = unlistedPatience
+	}
+	return bs.lastProbe == 0 || now.Sub(bs.lastProbe) > max(bs.shortestProbeInterval()*3/2, least)
 }
 
 // shortestProbeInterval returns the shortest interval at which a balancer has last probed, at
@@ -172,7 +196,11 @@
 // any failure domain before it counts as abandoned: zero or less if it does, as all balancers
 // that it knows may have been replaced.
 func (bs *Balancers) UntilAbandoned(now clock.Millis) clock.Millis {
-	return localBalancerTimeout - now.Sub(max(bs.lastProbe, bs.startedAt))
+	patience := localBalancerTimeout
+	if bs.unlisted && bs.lastProbe != 0 {
+		patience = min(max(bs.shortestProbeInterval()*3/2, unlistedPatience), patience)
+	}
+	return patience - now.Sub(max(bs.lastProbe, bs.startedAt))
 }
 
 // loadedInterval returns the interval of reports to balancers of the agent's own failure
--- a/internal/process/streamagent/lookup.go
+++ b/internal/process/streamagent/lookup.go
@@ -64,7 +64,7 @@
 // lookUpBalancers looks up balancers, in a current list or in one that may be stale, and
 // reports whether the platform answered.
 func (a *Agent) lookUpBalancers(ctx context.Context, current bool) bool {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	ctx, cancel := context.WithTimeout(ctx, lookupTime.Duration())
 	defer cancel()
 	find := a.deps.Finder.Balancers
 	if current {
--- a/internal/process/streamagent/lookups.go
+++ b/internal/process/streamagent/lookups.go
@@ -8,6 +8,10 @@
 	// probedCheckInterval is how often an agent that a balancer probes checks whether that
 	// is still so.
 	probedCheckInterval = clock.Second
+	// unlistedCheckInterval is the same for an agent whose target is not listed by the store.
+	unlistedCheckInterval = 200 * clock.Millis(1)
+	// lookupTime bounds a lookup: a slow store answers in some 400 ms.
+	lookupTime = 800 * clock.Millis(1)
 	// lookupInterval is how often balancers are looked up in the directory while none
 	// probes this target. After a failed lookup the delay starts at minLookupRetryDelay
 	// and doubles, and after a lookup of an abandoned agent at minAbandonedDelay.
@@ -77,8 +81,14 @@
 	case CurrentLookup:
 		delay := l.abandonedDelay/2 + share(l.abandonedDelay, random)
 		l.abandonedDelay = min(2*l.abandonedDelay, lookupInterval)
+		if bs.unlisted {
+			l.abandonedDelay = minAbandonedDelay
+		}
 		return delay
 	default:
+		if bs.unlisted {
+			return unlistedCheckInterval
+		}
 		return probedCheckInterval
 	}
 }
--- /dev/null
+++ b/internal/process/streamagent/unlisted_test.go
@@ -0,0 +1,87 @@
+package streamagent
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/wagtailtray/wagtailtray/internal/connection/stream"
+	"github.com/wagtailtray/wagtailtray/pkg/clock"
+)
+
+// newUnlistedBalancers returns the state of an agent whose target is not listed by the store.
+// A balancer of its failure domain has probed it until now.
+func newUnlistedBalancers(now clock.Millis) *Balancers {
+	bs := NewBalancers(now-clock.Minute, "a")
+	bs.SetUnlisted(true)
+	bs.RecordHeard(now, testBalancer(0))
+	for _, at := range []clock.Millis{now - 200, now} {
+		bs.RecordProbe(at, testBalancer(0), "a")
+	}
+	return bs
+}
+
+// All balancers of a failure domain end, and the store does not list a target there: one that
+// its agent does not know must get a report before it counts as knowing all targets.
+func TestUnlistedAgentReportsInTime(t *testing.T) {
+	for phase := clock.Millis(0); phase < unlistedCheckInterval; phase += 50 {
+		for _, random := range []float64{0, 0.5, 1} {
+			bs, lookups := newUnlistedBalancers(testNow), NewLookups()
+			nextLookup, learnAt, reportedAt := testNow+phase, clock.Millis(0), clock.Millis(0)
+			for now := testNow; reportedAt == 0 && now < testNow+clock.Minute; now += 50 {
+				if learnAt != 0 && now >= learnAt {
+					bs.Learn(now, []netip.AddrPort{testBalancer(7)}, "b")
+					learnAt = 0
+				}
+				if now >= nextLookup {
+					due, answeredAt := lookups.Due(now, bs), now
+					if due == CurrentLookup {
+						answeredAt += lookupTime
+						learnAt = answeredAt
+					}
+					nextLookup = answeredAt + lookups.Delay(answeredAt, bs, due, true, random)
+				}
+				for _, at := range bs.DueForReport(now, false) {
+					if at == testBalancer(7) {
+						reportedAt = now
+					}
+				}
+			}
+			if late := reportedAt.Sub(testNow); late > stream.DiscoveryTime {
+				t.Errorf("lookups from %d ms, random %.1f: reported %d ms after the last probe", phase, random, late)
+			}
+		}
+	}
+}
+
+// Nobody probes the target for longer, and balancers come only then: its agent must go on
+// looking for them at short intervals, and report to each soon after it is in the directory.
+func TestUnlistedAgentKeepsLookingUp(t *testing.T) {
+	bs, lookups := newUnlistedBalancers(testNow), NewLookups()
+	for now := testNow + 2*clock.Second; now < testNow+30*clock.Second; {
+		due := lookups.Due(now, bs)
+		if due != CurrentLookup {
+			t.Fatalf("lookup %d after %d ms", due, now.Sub(testNow))
+		}
+		pause := lookups.Delay(now, bs, due, true, 1)
+		if pause+lookupTime/2 > stream.DiscoveryTime {
+			t.Fatalf("a pause of %d ms after %d ms", pause, now.Sub(testNow))
+		}
+		now += pause
+	}
+}
+
+// The store lists the target: its agent must not look balancers up, which is billed, as soon
+// as some probes are missing.
+func TestListedAgentWaitsForProbes(t *testing.T) {
+	bs := newUnlistedBalancers(testNow)
+	if !bs.SetUnlisted(false) {
+		t.Error("no change")
+	}
+	now := testNow + unlistedPatience + 500
+	if due := NewLookups().Due(now, bs); due != NoLookup {
+		t.Errorf("lookup %d", due)
+	}
+	if bs.NoLocalBalancer(now) {
+		t.Error("counts as without a balancer of its failure domain")
+	}
+}
--- a/internal/process/streambalancer/news.go
+++ b/internal/process/streambalancer/news.go
@@ -135,7 +135,7 @@
 		// The others of a fleet that has just started wait for a settled balancer.
 		b.broadcastNews(now)
 	}
-	b.deps.Log.Info().Str("event", "settled").Bool("settled", settled).Int("targets", b.steerer.Targets.Len()).Send()
+	b.deps.Log.Info().Str("event", "settled").Bool("settled", settled).Bool("confirmed", b.peers.confirmed).Int("targets", b.steerer.Targets.Len()).Send()
 }
 
 // addContactRequest makes news request the contacts that this balancer does not know. The
--- a/internal/process/streambalancer/peers.go
+++ b/internal/process/streambalancer/peers.go
@@ -120,6 +120,8 @@
 	confirmed bool
 	// unlisted is set if the directory did not list this balancer when it started.
 	unlisted bool
+	// registeredAt is when the directory has listed it since; zero if it does not.
+	registeredAt clock.Millis
 	// listing tracks the targets that the store lists; nil without checkpoints.
 	listing *listing
 	// covered holds the views of others whose targets this balancer knows completely.
--- a/internal/process/streambalancer/register.go
+++ b/internal/process/streambalancer/register.go
@@ -195,6 +195,7 @@
 			b.deps.Log.Warn().Str("event", "unregistered").Err(err).Msg("registering in the directory failed")
 			return false
 		}
+		b.setRegistered()
 	}
 	b.deps.Log.Info().Str("event", "registered").Int("entries", len(entries)).Send()
 	return true
@@ -207,6 +208,13 @@
 	b.peers.unlisted = true
 }
 
+// setRegistered records that the directory lists this balancer from now on.
+func (b *Balancer) setRegistered() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.peers.registeredAt = b.deps.Clock.Now()
+}
+
 // learnEntries adds the balancers of the directory to the peers.
 func (b *Balancer) learnEntries(entries []directory.Entry) {
 	b.mu.Lock()
--- a/internal/process/streambalancer/settled.go
+++ b/internal/process/streambalancer/settled.go
@@ -18,10 +18,11 @@
 	// it.
 	confirmedStartDelay = 700 * clock.Millis(1)
 	// soloStartDelay is the minimum if no settled balancer has done so and there is no
-	// other balancer: two reports of each agent, plus propagationTime. With other
-	// balancers, agents report to them in turn; the wait covers three reports and at least
-	// minStartDelay, as agents may start a little later than balancers.
-	soloStartDelay  = 2*stream.ReportInterval + propagationTime
+	// other balancer: two reports of each agent, or the time in which agents that the store
+	// does not list find this balancer, plus propagationTime. With other balancers, agents
+	// report to them in turn; the wait covers three reports and at least minStartDelay, as
+	// agents may start a little later than balancers.
+	soloStartDelay  = max(2*stream.ReportInterval, stream.DiscoveryTime) + propagationTime
 	minStartDelay   = clock.Second
 	propagationTime = 200 * clock.Millis(1)
 	// noRelayStartDelay is the minimum if a failure domain has no balancer that sends
@@ -92,7 +93,7 @@
 	ps.confirmed = ps.confirmed || ps.settledPeerConfirms(now, digest)
 	ps.updateAgreement(now, digest)
 	delay, ok := ps.startDelay(complete)
-	return ok && heldLongEnough(now, ps.agreedSince) && now.Sub(ps.startedAt) > delay && ps.LocalTargetsKnown(now)
+	return ok && heldLongEnough(now, ps.agreedSince) && ps.discoverableFor(now) > delay && ps.LocalTargetsKnown(now)
 }
 
 // updateAgreement records since when this balancer knows everything that its neighbours
@@ -146,6 +147,20 @@
 	return delay, true
 }
 
+// discoverableFor returns how long agents could have found this balancer in the directory, or
+// known it from an earlier process. Once a settled balancer has sent all targets, it is the
+// time since the start.
+func (ps *Peers) discoverableFor(now clock.Millis) clock.Millis {
+	switch {
+	case ps.confirmed || !ps.unlisted:
+		return now.Sub(ps.startedAt)
+	case ps.registeredAt == 0:
+		return 0
+	default:
+		return now.Sub(ps.registeredAt)
+	}
+}
+
 // listState returns the state of the list of a failure domain's targets. Without checkpoints
 // there are no lists.
 func (ps *Peers) listState(domain string) listState {
@@ -165,7 +180,7 @@
 	if s := ps.listState(ps.self.Domain); s != listHeard && s != listUnreadable {
 		return false
 	}
-	return now.Sub(ps.startedAt) > soloStartDelay || ps.localTargetsKnownJointly(now)
+	return ps.discoverableFor(now) > soloStartDelay || !ps.unlisted && ps.localTargetsKnownJointly(now)
 }
 
 // localTargetsKnownJointly reports whether this balancer knows everything that the others
--- a/internal/process/streambalancer/sim_test.go
+++ b/internal/process/streambalancer/sim_test.go
@@ -34,6 +34,8 @@
 	// and between two, in microseconds.
 	localDelayMicros  = 200.0
 	remoteDelayMicros = 3400.0
+	// lookupMicros is how long a slow store takes to list balancers, in microseconds.
+	lookupMicros = 400_000.0
 	// burstMicros is the period over which bursts are measured, in microseconds.
 	burstMicros = 50_000.0
 	// lostFlowsPerBalancer is the number of lost flows on which callers send, for each
@@ -72,6 +74,10 @@
 	domain  string
 	share   float64
 	startAt float64
+	// registeredAt is when the directory lists a balancer; zero if it does from the start.
+	registeredAt float64
+	// unlisted is set if the store does not list an agent's target.
+	unlisted bool
 	// busyUntil is when it has handled everything that has arrived.
 	busyUntil float64
 	balancer  *Balancer
@@ -112,6 +118,11 @@
 	unlisted bool
 	// strangers are balancers that find no other one: the directory's list is stale.
 	strangers bool
+	// directory is set if agents look balancers up while none probes them. registerMicros is
+	// how long after its start a new balancer is listed there, in microseconds; zero if it is
+	// from the start.
+	directory      bool
+	registerMicros float64
 	// cut reports whether no datagram gets from one process to another; nil if all do.
 	cut func(from, to *simProcess) bool
 	// measureFrom is when the restart begins. Traffic is counted for the two seconds after
@@ -311,6 +322,7 @@
 			address: peerAddress(1000 + i), domain: old.domain, share: old.share, startAt: f.now + 300_000*f.random.Float64(),
 			verbs: map[wire.Verb]int{}, sentBytes: map[wire.Verb]int{}, bursts: map[int]int{}, clock: &clock.Manual{},
 		}
+		s.registeredAt = s.startAt + f.registerMicros
 		f.processes[i], f.byAddress[s.address] = s, s
 		f.schedule(s.startAt-f.now, func() { f.startBalancer(s, i, size.balancers, f.table) })
 	}
@@ -323,6 +335,15 @@
 	}
 }
 
+// addUnlistedTarget starts an agent in a failure domain whose target the store does not list.
+func (f *simFleet) addUnlistedTarget(size fleetSize, domain int) {
+	s := &simProcess{
+		address: netip.MustParseAddrPort("10.2.0.1:7000"), domain: fmt.Sprint("d", domain), share: 0.24, startAt: f.now, unlisted: true,
+	}
+	f.add(s)
+	f.startAgent(s, len(f.processes), size.balancers)
+}
+
 // storeTargets stores the checkpoints of all agents.
 func (f *simFleet) storeTargets(size fleetSize) {
 	f.listed = map[string][]checkpoint.Entry{}
@@ -351,6 +372,11 @@
 	b.parcelSender, b.callerWriter = simLink{f, s}, s
 	s.balancer = b
 	b.steerer.SetTable(s.clock.Now(), table)
+	if f.registerMicros != 0 && s.registeredAt != 0 {
+		b.peers.unlisted = true
+		f.schedule(s.registeredAt-f.now, func() { b.peers.registeredAt = f.syncClock(s) })
+		f.schedule(s.registeredAt-f.now+float64(minFindPeersDelay.Microseconds())+lookupMicros, func() { f.findPeers(s, b) })
+	}
 	if f.listed != nil {
 		b.peers.listing = newListing(slices.Sorted(maps.Keys(f.listed)))
 	}
@@ -402,12 +428,16 @@
 			}
 		}
 	})
+	if f.directory {
+		f.lookUp(s, streamagent.NewLookups())
+	}
 	var step func()
 	step = func() {
 		if f.byAddress[s.address] != s {
 			return
 		}
 		now := f.syncClock(s)
+		s.reportBalancers.SetUnlisted(s.unlisted)
 		s.tracker.SendReport(now, s.reportBalancers.DueForReport(now, s.tracker.Loaded()))
 		s.tracker.Tick(now)
 		f.flush(s)
@@ -416,6 +446,41 @@
 	step()
 }
 
+// findPeers names a balancer all that are listed, as in the directory's current list.
+func (f *simFleet) findPeers(s *simProcess, b *Balancer) {
+	now := f.syncClock(s)
+	for _, p := range f.processes {
+		if p.tracker == nil && f.now >= p.registeredAt+lookupMicros {
+			b.peers.Learn(now, p.address, Peer{Name: p.address.String(), Domain: p.domain, CPUShare: uint32(1000 * p.share)})
+		}
+	}
+}
+
+// lookUp makes an agent look up balancers when that is due, as agents do. Stale lists name
+// those that the fleet started with.
+func (f *simFleet) lookUp(s *simProcess, lookups *streamagent.Lookups) {
+	if f.byAddress[s.address] != s {
+		return
+	}
+	due := lookups.Due(f.syncClock(s), s.reportBalancers)
+	delay := 0.0
+	if due != streamagent.NoLookup {
+		delay = lookupMicros
+	}
+	f.schedule(delay, func() {
+		now := f.syncClock(s)
+		for _, p := range f.processes {
+			listed := due == streamagent.CurrentLookup && f.now >= p.registeredAt
+			stale := due == streamagent.CheapLookup && p.domain == s.domain && p.registeredAt == 0
+			if p.tracker == nil && (listed || stale) {
+				s.reportBalancers.Learn(now, []netip.AddrPort{p.address}, p.domain)
+			}
+		}
+		pause := lookups.Delay(now, s.reportBalancers, due, true, f.random.Float64())
+		f.schedule(1000*float64(pause), func() { f.lookUp(s, lookups) })
+	})
+}
+
 // sendLostFlows simulates callers that send on lost flows, and retransmit after each pause,
 // to any balancer of their failure domain, within a second.
 func (f *simFleet) sendLostFlows(balancers, domains int) {
--- /dev/null
+++ b/internal/process/streambalancer/unlisted_test.go
@@ -0,0 +1,76 @@
+package streambalancer
+
+import "testing"
+
+const (
+	// joinedAt is when a target is added, leftAt when all balancers but one end, and
+	// loneDownMicros how long that one needs for its restart, in microseconds.
+	joinedAt       = 8e6
+	leftAt         = joinedAt + 300_000
+	loneDownMicros = 200_000
+	// unlistedWithin is how soon a balancer must be settled after its start or its registration, in microseconds.
+	unlistedWithin = 4.5e6
+)
+
+// newFleetWithUnlistedTarget returns a fleet in which a target was just added that is in no
+// list of the store, and is known to the balancers.
+func newFleetWithUnlistedTarget(t *testing.T, size fleetSize) *simFleet {
+	f := newSimFleet(t, size, joinedAt, func(_ int, fraction float64) float64 { return 300_000 * fraction })
+	f.directory = true
+	f.run(joinedAt - 1e6)
+	f.storeTargets(size)
+	f.run(joinedAt)
+	f.addUnlistedTarget(size, 0)
+	f.run(leftAt)
+	return f
+}
+
+// All balancers but one end just after a target was added that is in no list, and that one
+// restarts: it must not take its flows for unowned.
+func TestLoneBalancerHearsUnlistedTarget(t *testing.T) {
+	for _, size := range []fleetSize{{6, 6, 3}, {30, 30, 3}} {
+		for lone := range 6 {
+			for _, later := range []float64{1000, 300_000, 1.1e6, 3e6} {
+				f := newFleetWithUnlistedTarget(t, size)
+				for i, s := range f.processes[:size.balancers] {
+					if i != lone {
+						s.balancer = nil
+					}
+				}
+				f.run(leftAt + later)
+				f.restart(lone, size, loneDownMicros)
+				f.run(f.now + 8e6)
+				s := f.processes[lone]
+				if s.settledAfter == 0 || s.settledAfter > unlistedWithin || s.unheardTargets > 0 {
+					t.Errorf("%+v, %s restarts after %.0f ms: settled after %.0f ms without %d targets",
+						size, s.address, later/1000, s.settledAfter/1000, s.unheardTargets)
+				}
+			}
+		}
+	}
+}
+
+// All balancers are replaced at new addresses, at once or later, just after a target was added
+// that is in no list: the new ones must not take its flows for unowned.
+func TestReplacedBalancersHearUnlistedTarget(t *testing.T) {
+	for _, size := range []fleetSize{{1, 3, 1}, {3, 3, 3}, {6, 9, 3}, {16, 44, 3}} {
+		for _, register := range []float64{400_000, 3e6} {
+			for _, later := range []float64{0, 2e6, 4e6, 8e6} {
+				f := newFleetWithUnlistedTarget(t, size)
+				f.registerMicros = register
+				for _, s := range f.processes[:size.balancers] {
+					s.balancer = nil
+				}
+				f.run(leftAt + later)
+				f.replaceBalancers(size)
+				f.run(f.now + 8e6)
+				for _, s := range f.processes[:size.balancers] {
+					if s.settledAfter == 0 || s.settledAfter > register+unlistedWithin || s.unheardTargets > 0 {
+						t.Errorf("%+v, replaced after %.0f ms, listed after %.0f ms: %s settled after %.0f ms without %d targets",
+							size, later/1000, register/1000, s.address, s.settledAfter/1000, s.unheardTargets)
+					}
+				}
+			}
+		}
+	}
+}
