--- a/internal/connection/stream/answers.go
+++ b/internal/connection/stream/answers.go
@@ -17,8 +17,10 @@
 	candidate bool
 	// search is the last search that asked.
 	search *search
-	// forwarded is how many of the buffered packets were forwarded to the target.
-	forwarded int
+	// forwarded is how many of the buffered packets were forwarded to the target, and
+	// forwardedAt is when the first one was.
+	forwarded   int
+	forwardedAt clock.Millis
 	// deniedAt is when the agent denied the flow, and deniedBy its process and target then.
 	deniedAt clock.Millis
 	deniedBy process
--- a/internal/connection/stream/search.go
+++ b/internal/connection/stream/search.go
@@ -293,7 +293,7 @@
 	a.holding, a.deniedAt = wire.Holding_HOLDING_NOT, now
 	if wasUnsure {
 		f.search.unsure--
-		s.forwardToUnsure(f.search)
+		s.forwardToUnsure(now, f.search)
 	}
 	if t, ok := s.Targets.Find(from); ok {
 		a.deniedBy = process{epoch: t.Epoch, born: t.Born}
@@ -315,7 +315,7 @@
 		Kind: OwnerFound, Flow: id, Target: agent, Name: t.Name, Service: t.Service,
 		Age: now.Sub(x.startedAt), Count: len(f.answers), Version: s.version(),
 	})
-	s.forwardBuffered(x, agent, f.answers[agent], len(x.packets))
+	s.forwardBuffered(now, x, agent, f.answers[agent], len(x.packets))
 	f.answers = nil
 }
 
--- a/internal/connection/stream/search_test.go
+++ b/internal/connection/stream/search_test.go
@@ -103,6 +103,35 @@
 	}
 }
 
+// A balancer that has just started knows one target, whose agent is unsure, and the packets of
+// a request arrive at once. The owner may be a target that it does not know yet: only one of
+// them may go to the known one before that has had time to return it.
+func TestUnsettledBalancerHoldsPackets(t *testing.T) {
+	for _, returned := range []bool{true, false} {
+		s, packet := newSearchingSteerer(t, 1, 0)
+		for i := range 2 {
+			next := dataPacket(uint32(101 + 100*i))
+			s.HandlePacket(testNow, decode(next), next)
+		}
+		sendAnswer(s, testNow+1, 0, wire.Holding_HOLDING_UNSURE)
+		more := dataPacket(301)
+		s.HandlePacket(testNow+2, decode(more), more)
+		s.Tick(testNow + 10)
+		if got := countSends(s)[wire.Verb_VERB_CARRY][testAddress(2, 0)]; got != 1 {
+			t.Errorf("%d packets were forwarded at once, want 1", got)
+		}
+		want := 3
+		if returned {
+			want = 0
+			s.HandleParcel(testNow+11, testAddress(2, 0), &wire.Parcel{Verb: wire.Verb_VERB_RETURN, Packet: packet}, decode(packet))
+		}
+		s.Tick(testNow + 90)
+		if got := countSends(s)[wire.Verb_VERB_CARRY][testAddress(2, 0)]; got != want {
+			t.Errorf("returned %v: %d packets were forwarded later, want %d", returned, got, want)
+		}
+	}
+}
+
 // All other targets have denied the flow: the last one, whose agent is unsure, is its
 // owner, even if the packet requires no answer. A balancer that has just started may not
 // know the owner at all: if it assumed that the last known target is the owner, all packets
--- a/internal/connection/stream/speculation.go
+++ b/internal/connection/stream/speculation.go
@@ -13,6 +13,9 @@
 	// a search are forwarded. If there are more, only the first packet is forwarded, which
 	// rules most of them out.
 	maxUnsureReceivers = 2
+	// returnTime is the time within which a target returns a packet of a flow that it does
+	// not hold: some round trips between failure domains.
+	returnTime = 50 * clock.Millis(1)
 	// speculativeRate and speculativeBurst limit the packets per second that searches
 	// forward to unsure targets. At some 25 us each that is 40 % of the smallest share of
 	// a core that a balancer gets, 0.06, and leaves the rest to healthy flows.
@@ -63,38 +66,50 @@
 			return
 		}
 		s.speculativeTokens--
-		s.forwardBuffered(x, t.Address, a, 1)
+		s.forwardBuffered(now, x, t.Address, a, 1)
 	}
 	x.speculationPending = false
 }
 
 // addPacket buffers a packet that arrives during a search, and forwards it to the targets
 // that may be the owner: an earlier packet may not have required an answer.
-func (s *Steerer) addPacket(x *search, packet []byte) {
+func (s *Steerer) addPacket(now clock.Millis, x *search, packet []byte) {
 	s.bufferPacket(x, packet)
-	s.forwardToUnsure(x)
+	s.forwardToUnsure(now, x)
 }
 
 // forwardToUnsure forwards all buffered packets to the few unsure targets that are left.
-func (s *Steerer) forwardToUnsure(x *search) {
+//
+// The owner is among these only if this balancer knows all targets. Until it does, a target
+// gets further packets only once it has kept the first one for returnTime; otherwise all
+// packets of a healthy flow would go to a target that does not hold it.
+func (s *Steerer) forwardToUnsure(now clock.Millis, x *search) {
 	if x.unsure == 0 || x.unsure > maxUnsureReceivers {
 		return
 	}
 	for _, t := range s.Targets.Sorted() {
 		a := x.flow.answers[t.Address]
-		if a != nil && a.search == x && a.holding == wire.Holding_HOLDING_UNSURE {
-			s.forwardBuffered(x, t.Address, a, len(x.packets))
+		if a != nil && a.search == x && a.holding == wire.Holding_HOLDING_UNSURE && (s.settled || a.kept(now)) {
+			s.forwardBuffered(now, x, t.Address, a, len(x.packets))
 		}
 	}
 }
 
+// kept reports whether the target has not returned the first packet although it had time to.
+func (a *agentAnswer) kept(now clock.Millis) bool {
+	return a.forwarded > 0 && now.Sub(a.forwardedAt) >= returnTime
+}
+
 // forwardBuffered forwards to a target the buffered packets that it was not sent yet, of
 // the first limit ones. A target that does not hold the flow returns them.
-func (s *Steerer) forwardBuffered(x *search, to netip.AddrPort, a *agentAnswer, limit int) {
+func (s *Steerer) forwardBuffered(now clock.Millis, x *search, to netip.AddrPort, a *agentAnswer, limit int) {
 	t, ok := s.Targets.Find(to)
 	if !ok {
 		return
 	}
+	if a.forwarded == 0 {
+		a.forwardedAt = now
+	}
 	for ; a.forwarded < min(limit, len(x.packets)); a.forwarded++ {
 		s.out.send(to, &wire.Parcel{Verb: wire.Verb_VERB_CARRY, Service: t.Service, Packet: x.packets[a.forwarded]})
 	}
--- a/internal/connection/stream/steer.go
+++ b/internal/connection/stream/steer.go
@@ -232,7 +232,7 @@
 	f.inherited = false
 	f.ended = f.ended || seg.Flags&(segment.Ends|segment.Resets) != 0
 	if f.search != nil {
-		s.addPacket(f.search, packet)
+		s.addPacket(now, f.search, packet)
 		return
 	}
 	if agent, ok := f.owner.Agent(); ok {
@@ -408,6 +408,9 @@
 		if x.speculationPending && !x.ended {
 			s.speculate(now, x)
 		}
+		if !x.ended && !s.settled {
+			s.forwardToUnsure(now, x)
+		}
 		s.advance(now, x)
 	}
 	s.removeEnded()
