--- a/internal/process/streambalancer/listing.go
+++ b/internal/process/streambalancer/listing.go
@@ -23,8 +23,8 @@
 	// newListDelay is how much longer a balancer waits that the directory did not list: all
 	// others may be new as well, and until they have met each takes itself for a relay.
 	newListDelay = 600 * clock.Millis(1)
-	// unknownListDelay is how long after that it reads the list of a failure domain without
-	// a known balancer, and remoteListDelay that of one whose relays have not sent a
+	// unknownListDelay is how long after that it reads the list of a failure domain of which
+	// no balancer answers, and remoteListDelay that of one whose relays have not sent a
 	// complete summary: a single relay may do so soloStartDelay after its start. Each read
 	// is billed.
 	unknownListDelay = 800 * clock.Millis(1)
@@ -104,11 +104,10 @@
 		}
 		return []string{ps.self.Domain}
 	}
-	withBalancers := ps.RemoteDomains()
 	var due []string
 	for _, d := range ps.allDomains() {
 		delay := unknownListDelay
-		if slices.Contains(withBalancers, d) {
+		if ps.domainAnswers(now, d) {
 			delay = remoteListDelay
 		}
 		if ps.listing.states[d] == listMissing && !complete(d) && now.Sub(ps.listing.localReadAt) >= delay {
@@ -118,6 +117,12 @@
 	return due
 }
 
+// domainAnswers reports whether a balancer of a failure domain answers. The directory also
+// names those that have left.
+func (ps *Peers) domainAnswers(now clock.Millis, domain string) bool {
+	return slices.ContainsFunc(ps.Sorted(), func(p *Peer) bool { return p.Domain == domain && p.Live(now) })
+}
+
 // recordList records that the list of a failure domain was read, with its state.
 func (ps *Peers) recordList(now clock.Millis, domain string, s listState) {
 	ps.listing.states[domain] = s
--- a/internal/process/streambalancer/listing_test.go
+++ b/internal/process/streambalancer/listing_test.go
@@ -28,3 +28,24 @@
 		t.Errorf("reads %v although no settled balancer has confirmed it", due)
 	}
 }
+
+// The directory names balancers of another failure domain that have left. The only balancer
+// that is left must not wait for their summary before it reads which targets there are: until
+// then it can't find the owners of flows there.
+func TestLoneBalancerReadsOtherListsSoon(t *testing.T) {
+	none := func(string) bool { return false }
+	for _, heard := range []bool{false, true} {
+		ps := NewPeers(testNow, relayTestPeer(0), nil)
+		ps.listing = newListing([]string{"d0", "d1"})
+		other := relayTestPeer(1)
+		ps.Learn(testNow, other.Address, other)
+		if heard {
+			ps.Update(testNow+100, other)
+		}
+		ps.recordList(testNow+localListDelay, "d0", listHeard)
+		due := ps.dueLists(testNow+localListDelay+unknownListDelay, none)
+		if got := len(due) == 1; got == heard {
+			t.Errorf("another balancer is heard %v: reads %v", heard, due)
+		}
+	}
+}
