--- a/internal/connection/stream/relay.go
+++ b/internal/connection/stream/relay.go
@@ -17,6 +17,16 @@
 	return s.relay, true
 }
 
+// ForgetRelay records that a balancer no longer sends summaries, as it is leaving. It may end
+// before it has forwarded a question.
+func (ts *Targets) ForgetRelay(a netip.AddrPort) {
+	for _, s := range ts.summaries {
+		if s.relay == a {
+			s.relayHeardAt = 0
+		}
+	}
+}
+
 // RelayQuestions forwards questions from a balancer in another failure domain to the agents
 // of this one, which answer the asker directly. It returns false if the budget is used up;
 // the asker then asks the agents that have not answered itself.
--- a/internal/connection/stream/relay_test.go
+++ b/internal/connection/stream/relay_test.go
@@ -126,3 +126,26 @@
 		}
 	}
 }
+
+// The relay of another failure domain says that it leaves. It may end before it forwards a
+// question, and the next one is a second later: the agents there must be asked directly.
+func TestLeavingRelayIsNotAsked(t *testing.T) {
+	const remote = 5
+	s, _ := newRelayedSearch(t, remote)
+	s.TakeOutcome()
+	s.Targets.ForgetRelay(testRelay)
+	other := dataPacket(1)
+	seg := decode(other)
+	seg.Source = netip.AddrPortFrom(seg.Source.Addr(), seg.Source.Port()+1)
+	s.HandlePacket(testNow+20, seg, other)
+	asked := map[netip.AddrPort]bool{}
+	for now := testNow + 30; now < testNow+90; now += 10 {
+		s.Tick(now)
+		for to := range sentQuestions(s) {
+			asked[to] = true
+		}
+	}
+	if asked[testRelay] || len(asked) < remote {
+		t.Errorf("asked %v, want the %d agents and not the relay", asked, remote)
+	}
+}
--- a/internal/process/streambalancer/news.go
+++ b/internal/process/streambalancer/news.go
@@ -212,6 +212,9 @@
 	if b.peers.former.TakeReturned(from, n.Epoch) {
 		b.checkRegistration()
 	}
+	if n.Leaving {
+		b.steerer.Targets.ForgetRelay(from)
+	}
 	b.handleEvacuations(now, n.Evacuations)
 	learned := b.learnContacts(now, from, n.Contacts)
 	if n.Complete && !learned {
--- a/internal/process/streambalancer/relays_test.go
+++ b/internal/process/streambalancer/relays_test.go
@@ -267,3 +267,26 @@
 		t.Errorf("continues with number %d, want 7", got)
 	}
 }
+
+// A relay of another failure domain announces that it leaves: questions must no longer go
+// through it, although its last summary is young.
+func TestLeavingRelayIsForgotten(t *testing.T) {
+	size := fleetSize{2, 2, 2}
+	f := newSimFleet(t, size, 0, func(_ int, fraction float64) float64 { return 300_000 * fraction })
+	f.run(4e6)
+	b, relay := f.processes[0], f.processes[1]
+	isRelay := func() bool {
+		_, ok := b.balancer.steerer.Targets.Relay(f.syncClock(b), relay.domain)
+		return ok
+	}
+	if !isRelay() {
+		t.Fatal("no relay is known")
+	}
+	relay.balancer.leaving = true
+	relay.balancer.peers.SetLeaving()
+	relay.balancer.sendLeave(f.syncClock(relay))
+	f.run(f.now + 100_000)
+	if isRelay() {
+		t.Error("the leaving relay would be asked")
+	}
+}
