Late heartbeats of an earlier target no longer prove that the present one is gone

Cause: a checkpoint's target counted as gone after two heartbeats with another start time. Two of an earlier target may both be late.

Change: heartbeats of a target that started earlier than that of the checkpoint count only once they have gone on for as long as a target may be silent: one of the checkpoint's target, if it lived, would have arrived.

TestLateHeartbeatsAndCheckpoint failed before (three resets).

--- a/internal/connection/checkpoint/verdict.go
+++ b/internal/connection/checkpoint/verdict.go
@@ -40,6 +40,9 @@
 	// received with this start time.
 	Sequence   uint64
 	Heartbeats int
+	// Steady is set if these have arrived for so long that one of any other target that is
+	// alive would have arrived as well.
+	Steady bool
 	// NotListening is set if no process listens at its address.
 	NotListening bool
 }
@@ -49,7 +52,8 @@
 //
 // A heartbeat may be late and come from a process that is gone. It proves that the
 // entry's target is gone if it comes from a later target that has just started, or if
-// a second heartbeat follows.
+// a second heartbeat follows. Several may be late: those of an earlier target, which is the
+// present one if the clock was set back, count only if they go on.
 func (e *Entry) Evaluate(wall int64, flowTTL clock.Millis, t Target) Verdict {
 	switch {
 	case e.expired(wall, flowTTL):
@@ -62,7 +66,9 @@
 		return Alive
 	case t.Born == e.Born:
 		return Ignore
-	case t.Heartbeats >= confirmingHeartbeats, t.Sequence <= maxStartupHeartbeats && t.Born > e.Born:
+	case t.Born > e.Born && (t.Heartbeats >= confirmingHeartbeats || t.Sequence <= maxStartupHeartbeats):
+		return Gone
+	case t.Heartbeats >= confirmingHeartbeats && t.Steady:
 		return Gone
 	default:
 		return Wait
--- a/internal/connection/stream/restore.go
+++ b/internal/connection/stream/restore.go
@@ -103,7 +103,8 @@
 		return
 	}
 	v := c.previous.Evaluate(int64(now)+c.clockOffset, tr.settings.FlowTTL, checkpoint.Target{
-		Service: tr.settings.Service, Born: u.born, Sequence: u.sequence, Heartbeats: u.heartbeats, NotListening: tr.noTarget(now),
+		Service: tr.settings.Service, Born: u.born, Sequence: u.sequence, Heartbeats: u.heartbeats,
+		Steady: u.lastHeartbeat.Sub(u.firstHeartbeat) >= tr.settings.HeartbeatTimeout, NotListening: tr.noTarget(now),
 	})
 	switch v {
 	case checkpoint.Wait:
--- a/internal/connection/stream/restore_test.go
+++ b/internal/connection/stream/restore_test.go
@@ -246,3 +246,31 @@
 		t.Error("counts as listed")
 	}
 }
+
+// An agent has just restarted, and several late heartbeats of an earlier incarnation are the
+// first that it gets. They must not count as proof that the target of the checkpoint, which
+// lives, is gone: its flows would be reset.
+func TestLateHeartbeatsAndCheckpoint(t *testing.T) {
+	for _, lives := range []bool{true, false} {
+		tr := newRestartedTracker()
+		tr.Restore(testNow+5, testWallClock, previousEntry(3))
+		for i := range 4 {
+			at := testNow + 100 + 300*clock.Millis(i)
+			tr.HandleHeartbeat(at, Heartbeat{Service: "one", Born: 300, Sequence: uint64(9 + i), Age: 20 * clock.Second, Slots: 4})
+		}
+		if out := tr.TakeOutcome(); len(out.Resets) > 0 {
+			t.Errorf("lives %v: resets %v after late heartbeats", lives, out.Resets)
+		}
+		born := uint64(300)
+		if lives {
+			born = 500
+		}
+		for i := range 5 {
+			at := testNow + 1200*clock.Millis(i+1)
+			tr.HandleHeartbeat(at, Heartbeat{Service: "one", Born: born, Sequence: uint64(20 + i), Age: 20 * clock.Second, Slots: 4})
+		}
+		if got := len(tr.TakeOutcome().Resets); (got > 0) == lives {
+			t.Errorf("lives %v: %d resets", lives, got)
+		}
+	}
+}
--- a/internal/connection/stream/upstream.go
+++ b/internal/connection/stream/upstream.go
@@ -43,9 +43,11 @@
 	gone       bool
 	slots      int
 	coldUntil  clock.Millis
-	// lastHeartbeat is when the last heartbeat arrived; lastSeen also covers packets.
-	lastHeartbeat clock.Millis
-	lastSeen      clock.Millis
+	// firstHeartbeat and lastHeartbeat are when the first and the last heartbeat of this
+	// incarnation arrived; lastSeen also covers packets.
+	firstHeartbeat clock.Millis
+	lastHeartbeat  clock.Millis
+	lastSeen       clock.Millis
 	// pendingSince is when the first opening since the target's last packet was passed to
 	// it, or zero.
 	pendingSince clock.Millis
@@ -104,6 +106,9 @@
 	u.born, u.sequence, u.draining = b.Born, b.Sequence, b.Draining
 	u.slots, u.coldUntil = b.Slots, now+b.Cold
 	u.lastHeartbeat = now
+	if u.heartbeats == 0 {
+		u.firstHeartbeat = now
+	}
 	u.heartbeats++
 	u.recordActivity(now)
 	tr.judgePrevious(now)
