--- a/internal/connection/stream/heartbeat_test.go
+++ b/internal/connection/stream/heartbeat_test.go
@@ -50,3 +50,37 @@
 		t.Errorf("resets %v, want the flow that was opened before the last heartbeat", resets)
 	}
 }
+
+// An agent has just restarted. The first heartbeat that it gets is a late one of its target's
+// earlier incarnation, so the next one of the living target must not be taken for a restart:
+// that would reset open flows.
+func TestLateHeartbeatOfEarlierTarget(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		age  clock.Millis
+	}{{"the clock was not set", 7 * clock.Second}, {"the clock was set back", -clock.Second}} {
+		tr := newRestartedTracker()
+		carryUnseenFlow(tr, testNow+100, 1)
+		tr.HandleHeartbeat(testNow+550, Heartbeat{Service: "one", Born: 500, Sequence: 9, Age: 20 * clock.Second, Slots: 4})
+		carryUnseenFlow(tr, testNow+600, 2)
+		tr.HandleHeartbeat(testNow+900, Heartbeat{Service: "one", Born: 900, Sequence: 6, Age: c.age, Slots: 4})
+		if out := tr.TakeOutcome(); len(out.Resets) > 0 {
+			t.Errorf("%s: resets %v", c.name, out.Resets)
+		}
+		for i, want := range []wire.Holding{wire.Holding_HOLDING_UNSURE, wire.Holding_HOLDING_OWNED, wire.Holding_HOLDING_OWNED} {
+			if got := tr.holding(testNow+910, callerFlow(i), 1000); got != want {
+				t.Errorf("%s: flow %d: holding %v, want %v", c.name, i, got, want)
+			}
+		}
+	}
+}
+
+// carryUnseenFlow passes a packet of a flow on whose opening the agent has not seen, and the
+// target answers it.
+func carryUnseenFlow(tr *Tracker, now clock.Millis, i int) {
+	id := callerFlow(i)
+	data := segment.Segment{Source: id.Caller, Destination: id.Listener, Flags: segment.Acks, Ack: 1000, Size: 10}
+	tr.HandleParcel(now, testAddress(1, 0), &wire.Parcel{Verb: wire.Verb_VERB_CARRY, Service: "one", Packet: encode(data)}, &data)
+	answer := segment.Segment{Source: id.Listener, Destination: id.Caller, Flags: segment.Acks, Seq: 1000, Size: 10}
+	tr.HandleTargetPacket(now+5, &answer, encode(answer))
+}
--- a/internal/connection/stream/upstream.go
+++ b/internal/connection/stream/upstream.go
@@ -14,6 +14,9 @@
 	// after a whole interval.
 	maxFirstSequence   = 6
 	maxFirstAgePercent = 75
+	// maxCountedHeartbeats bounds the heartbeats from which a target's age is computed; flows
+	// live no longer.
+	maxCountedHeartbeats = 1 << 20
 	// heartbeatSlack is how late a heartbeat may arrive.
 	heartbeatSlack = 200 * clock.Millis(1)
 )
@@ -83,7 +86,8 @@
 //
 // A restarted target has none of its earlier flows. Their callers are reset at once, so
 // that they reconnect instead of waiting. Flows opened after the last heartbeat of the
-// earlier incarnation may belong to the new one.
+// earlier incarnation may belong to the new one, and so do those opened after its start: that
+// heartbeat may have been late.
 func (tr *Tracker) HandleHeartbeat(now clock.Millis, b Heartbeat) {
 	u := &tr.upstream
 	if u.outdated(now, b, tr.settings.HeartbeatTimeout) {
@@ -94,8 +98,9 @@
 	case !u.known:
 		tr.sawAllFlows = tr.sawAllOpenings(b)
 	case b.Born != u.born:
-		tr.resetFlowsBefore(u.lastHeartbeat, "the target restarted")
-		tr.sawAllFlows = true
+		born := now - b.minAge(tr.settings.Heartbeat)
+		tr.resetFlowsBefore(min(u.lastHeartbeat, born), "the target restarted")
+		tr.sawAllFlows = born > tr.startedAt || tr.sawAllOpenings(b)
 		*u = upstream{}
 		tr.classLimiter = admission.ClassLimiter{}
 	}
@@ -134,6 +139,13 @@
 	return b.Sequence <= maxFirstSequence && b.Born != 0 && young
 }
 
+// minAge returns how long the target has run at least. If the VM's clock was set back since
+// its start, the number of its heartbeats shows that.
+func (b Heartbeat) minAge(interval clock.Millis) clock.Millis {
+	heartbeats := clock.Millis(min(b.Sequence, maxCountedHeartbeats))
+	return max(b.Age, (heartbeats-1)*interval)
+}
+
 // outdated reports whether a heartbeat arrived after a later one. Incarnations are ordered
 // by their start times unless the VM's clock was set back in between: then the later one
 // seems older, but the earlier one is silent.
