An old first heartbeat does not show that the agent has seen all flows

Callers would see: an agent has restarted, the very first heartbeat of an earlier incarnation arrives late, and balancers are told that the target does not hold flows which it does hold; they reset them.

Cause: a first heartbeat that the target has attempted once counted as that of a target that has just started, whatever its age.

Change: one that is older than a heartbeat interval leaves the agent unsure of flows that it has not seen. The new row of TestFirstHeartbeat failed before ("holding HOLDING_NOT, want HOLDING_UNSURE").

--- a/internal/connection/stream/heartbeat_test.go
+++ b/internal/connection/stream/heartbeat_test.go
@@ -24,6 +24,7 @@
 		{"another agent may have acknowledged, an interval ago", 2, simHeartbeat + 20, wire.Holding_HOLDING_UNSURE},
 		{"many were sent", 9, 600, wire.Holding_HOLDING_UNSURE},
 		{"the clock was set back", 3, -5, wire.Holding_HOLDING_UNSURE},
+		{"the first one of an earlier target, late", 1, 13 * clock.Second, wire.Holding_HOLDING_UNSURE},
 	} {
 		tr := newAgentWithoutTarget()
 		now := testNow + c.age
--- a/internal/connection/stream/upstream.go
+++ b/internal/connection/stream/upstream.go
@@ -130,13 +130,13 @@
 // earlier process of the agent has opened flows at the target. An agent opens no flows
 // before it acknowledges a heartbeat, and after an acknowledgement the target would have
 // waited a whole interval before this heartbeat. The VM's clock may have been set since the
-// target's start, so the number of heartbeats must match as well.
+// target's start, so the number of heartbeats must match as well. An old heartbeat may be a
+// late one of an earlier incarnation, also if it was the first.
 func (tr *Tracker) sawAllOpenings(b Heartbeat) bool {
-	if b.Sequence <= 1 {
-		return true
+	if b.Age > tr.settings.Heartbeat*maxFirstAgePercent/100 {
+		return false
 	}
-	young := b.Age >= 0 && b.Age <= tr.settings.Heartbeat*maxFirstAgePercent/100
-	return b.Sequence <= maxFirstSequence && b.Born != 0 && young
+	return b.Sequence <= 1 || b.Sequence <= maxFirstSequence && b.Born != 0 && b.Age >= 0
 }
 
 // minAge returns how long the target has run at least. If the VM's clock was set back since
