--- a/internal/connection/stream/search.go
+++ b/internal/connection/stream/search.go
@@ -21,6 +21,10 @@
 	unsureTimeout = 700 * clock.Millis(1)
 	// throttledTimeout is how long a search waits in a scope while questions are rate limited.
 	throttledTimeout = 400 * clock.Millis(1)
+	// throttledRetryDelay is the delay before a retry for which there was no budget is tried
+	// again. If it were skipped, an agent that has just restarted would not be asked again
+	// before the search ends.
+	throttledRetryDelay = 50 * clock.Millis(1)
 	// initialRetryDelay is the delay before unanswered questions are repeated; it
 	// doubles each time. Thousands of searches at once, after all VMs lost power,
 	// must not saturate the links that their answers need.
@@ -226,8 +230,12 @@
 	if now < x.retryAt {
 		return
 	}
+	if x.candidates > 0 && s.questions.throttled() {
+		x.retryAt = now + throttledRetryDelay
+		return
+	}
 	x.retryAt, x.retryDelay = now+x.retryDelay, 2*x.retryDelay
-	if x.candidates == 0 || s.questions.throttled() {
+	if x.candidates == 0 {
 		return
 	}
 	for _, t := range s.Targets.Sorted() {
--- a/internal/connection/stream/search_test.go
+++ b/internal/connection/stream/search_test.go
@@ -446,3 +446,29 @@
 	s.Tick(testNow + serviceTimeout + 1)
 	s.Tick(testNow + searchTimeout + 10)
 }
+
+// The owner's agent restarts as planned while a small balancer has used up its budget for
+// questions, so the time for asking again passes. It must be asked again as soon as there is
+// budget: the caller's next packet may come only seconds later.
+func TestSkippedRetryIsMadeUp(t *testing.T) {
+	s, _ := newSearchingSteerer(t, 2, 0)
+	sendAnswer(s, testNow+1, 0, wire.Holding_HOLDING_NOT)
+	s.TakeOutcome()
+	const budgetAt = testNow + 450
+	other := segment.Flow{Caller: testAddress(100, 1), Listener: testListener}
+	askedAt := clock.Millis(0)
+	for now := testNow + 10; now < testNow+searchTimeout && askedAt == 0; now += 10 {
+		s.questions.tokens, s.questions.refilledAt = 100, now
+		if now < budgetAt {
+			s.questions.tokens = -100
+			s.questions.add(now, testAddress(2, 0), false, other, 7)
+		}
+		s.Tick(now)
+		if sentQuestions(s)[testAddress(2, 1)] != nil {
+			askedAt = now
+		}
+	}
+	if askedAt == 0 || askedAt.Sub(budgetAt) > 100 {
+		t.Errorf("asked again %d ms after there was budget", askedAt.Sub(budgetAt))
+	}
+}
