--- a/internal/process/streambalancer/unlisted_test.go
+++ b/internal/process/streambalancer/unlisted_test.go
@@ -1,14 +1,18 @@
 package streambalancer
 
-import "testing"
+import (
+	"slices"
+	"testing"
+)
 
 const (
-	// joinedAt is when a target is added, leftAt when all balancers but one end, and
-	// loneDownMicros how long that one needs for its restart, in microseconds.
+	// joinedAt is when a target is added, leftAt when balancers end, and loneDownMicros how
+	// long those that are left need for their restart, in microseconds.
 	joinedAt       = 8e6
 	leftAt         = joinedAt + 300_000
 	loneDownMicros = 200_000
-	// unlistedWithin is how soon a balancer must be settled after its start or its registration, in microseconds.
+	// unlistedWithin is how soon a balancer must be settled after its start or its
+	// registration, in microseconds.
 	unlistedWithin = 4.5e6
 )
 
@@ -25,25 +29,29 @@
 	return f
 }
 
-// All balancers but one end just after a target was added that is in no list, and that one
-// restarts: it must not take its flows for unowned.
-func TestLoneBalancerHearsUnlistedTarget(t *testing.T) {
+// Balancers end just after a target was added that is in no list, and those that are left
+// restart, one or two at once: they must not take its flows for unowned.
+func TestLastBalancersHearUnlistedTarget(t *testing.T) {
 	for _, size := range []fleetSize{{6, 6, 3}, {30, 30, 3}} {
-		for lone := range 6 {
+		for _, left := range [][]int{{0}, {1}, {2}, {3}, {4}, {5}, {2, 5}, {1, 2}, {0, 5}} {
 			for _, later := range []float64{1000, 300_000, 1.1e6, 3e6} {
 				f := newFleetWithUnlistedTarget(t, size)
 				for i, s := range f.processes[:size.balancers] {
-					if i != lone {
+					if !slices.Contains(left, i) {
 						s.balancer = nil
 					}
 				}
 				f.run(leftAt + later)
-				f.restart(lone, size, loneDownMicros)
+				for _, i := range left {
+					f.restart(i, size, loneDownMicros)
+				}
 				f.run(f.now + 8e6)
-				s := f.processes[lone]
-				if s.settledAfter == 0 || s.settledAfter > unlistedWithin || s.unheardTargets > 0 {
-					t.Errorf("%+v, %s restarts after %.0f ms: settled after %.0f ms without %d targets",
-						size, s.address, later/1000, s.settledAfter/1000, s.unheardTargets)
+				for _, i := range left {
+					s := f.processes[i]
+					if s.settledAfter == 0 || s.settledAfter > unlistedWithin || s.unheardTargets > 0 {
+						t.Errorf("%+v, %v restart after %.0f ms: %s settled after %.0f ms without %d targets",
+							size, left, later/1000, s.address, s.settledAfter/1000, s.unheardTargets)
+					}
 				}
 			}
 		}
