--- a/internal/process/streambalancer/listing_test.go
+++ b/internal/process/streambalancer/listing_test.go
@@ -49,3 +49,23 @@
 		}
 	}
 }
+
+// A failure domain has no balancer. What its list names is not heard yet, or was not read: a
+// balancer that counted as settled would reset flows of targets there.
+func TestNotSettledBeforeOtherListsAreHeard(t *testing.T) {
+	late := testNow + 2*noRelayStartDelay
+	for _, c := range []struct {
+		state listState
+		want  bool
+	}{{listMissing, false}, {listPending, false}, {listHeard, true}, {listUnreadable, true}} {
+		ps := NewPeers(testNow, testPeer(0), nil)
+		ps.listing = newListing([]string{"d0", "d1"})
+		ps.recordList(testNow, "d0", listHeard)
+		ps.recordList(testNow, "d1", c.state)
+		none := func(string) bool { return false }
+		ps.Settled(late, 5, none)
+		if got := ps.Settled(late+settleTime+1, 5, none); got != c.want {
+			t.Errorf("list state %d: settled %v", c.state, got)
+		}
+	}
+}
--- a/internal/process/streambalancer/peers_test.go
+++ b/internal/process/streambalancer/peers_test.go
@@ -335,3 +335,16 @@
 		t.Error("a balancer that has not failed does not go first")
 	}
 }
+
+// A balancer hears from no other one: it may be cut off or have been paused, and must not
+// remove the others from the directory.
+func TestLonelyBalancerRemovesNoEntries(t *testing.T) {
+	ps := newPeersWithNews(0, 0)
+	ps.Update(testNow, testPeer(1))
+	if !ps.removesEntries(testNow) {
+		t.Error("the first by name among those that answer removes none")
+	}
+	if ps.removesEntries(testNow + peerTimeout + 1) {
+		t.Error("removes entries although no other balancer answers")
+	}
+}
