--- a/internal/connection/stream/steer.go
+++ b/internal/connection/stream/steer.go
@@ -408,7 +408,7 @@
 		if x.speculationPending && !x.ended {
 			s.speculate(now, x)
 		}
-		if !x.ended && !s.settled {
+		if !s.settled && !x.ended && len(x.packets) > 1 {
 			s.forwardToUnsure(now, x)
 		}
 		s.advance(now, x)
