--- a/internal/connection/checkpoint/sender.go
+++ b/internal/connection/checkpoint/sender.go
@@ -34,13 +34,14 @@
 	listed   bool
 	listedAt clock.Millis
 	// sent is the entry that was sent last, with its number and the time.
-	sent      Entry
-	sentAt    clock.Millis
-	number    uint32
-	checkedAt clock.Millis
+	sent   Entry
+	sentAt clock.Millis
+	number uint32
 	// storedAt is when the last entry that is known to be in the store was sent; zero if
 	// none is.
-	storedAt     clock.Millis
+	storedAt clock.Millis
+	// checkedAt is when the entry was last checked, and nextDue when it is due again.
+	checkedAt    clock.Millis
 	nextDue      clock.Millis
 	sendInterval clock.Millis
 }
