A lost reply to a registration no longer keeps a balancer unsettled

Found on reading once more. Callers would see: a new balancer whose reply to the registration was lost is never settled unless another one confirms it, so nobody tells callers that their flows are lost. The same while the store does not take the write of an entry that was removed during a partition.

Cause: the time of the registration was recorded only by the attempt that wrote the entry. One that found it, as after a lost reply, recorded none; and a balancer that had long been settled counted as new when its entry was gone.

Change: the first attempt that finds or writes the entry records the time, and only a balancer without one can count as new. TestLostReplyOfRegistration and TestRemovedEntryLeavesBalancerSettled failed before ("counts as discoverable for 0 ms", want 2,200 and 60,000).

--- a/internal/process/streambalancer/peers.go
+++ b/internal/process/streambalancer/peers.go
@@ -120,7 +120,7 @@
 	confirmed bool
 	// unlisted is set if the directory did not list this balancer when it started.
 	unlisted bool
-	// registeredAt is when the directory has listed it since; zero if it does not.
+	// registeredAt is when the directory was first known to list it; zero before that.
 	registeredAt clock.Millis
 	// listing tracks the targets that the store lists; nil without checkpoints.
 	listing *listing
--- a/internal/process/streambalancer/register.go
+++ b/internal/process/streambalancer/register.go
@@ -195,24 +195,28 @@
 			b.deps.Log.Warn().Str("event", "unregistered").Err(err).Msg("registering in the directory failed")
 			return false
 		}
-		b.setRegistered()
 	}
+	b.setRegistered()
 	b.deps.Log.Info().Str("event", "registered").Int("entries", len(entries)).Send()
 	return true
 }
 
-// setUnlisted records that the directory does not list this balancer.
+// setUnlisted records that the directory does not list this balancer. An entry that is removed
+// later changes nothing: agents know a balancer that has run.
 func (b *Balancer) setUnlisted() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.peers.unlisted = true
+	b.peers.unlisted = b.peers.unlisted || b.peers.registeredAt == 0
 }
 
-// setRegistered records that the directory lists this balancer from now on.
+// setRegistered records that the directory lists this balancer. The reply to the write may
+// have been lost, so the time is that of the first proof.
 func (b *Balancer) setRegistered() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.peers.registeredAt = b.deps.Clock.Now()
+	if b.peers.registeredAt == 0 {
+		b.peers.registeredAt = b.deps.Clock.Now()
+	}
 }
 
 // learnEntries adds the balancers of the directory to the peers.
