--- a/internal/process/streambalancer/sim_test.go
+++ b/internal/process/streambalancer/sim_test.go
@@ -15,7 +15,6 @@
 	"github.com/wagtailtray/wagtailtray/internal/connection/checkpoint"
 	"github.com/wagtailtray/wagtailtray/internal/connection/stream"
 	"github.com/wagtailtray/wagtailtray/internal/process/streamagent"
-	"github.com/wagtailtray/wagtailtray/internal/request/segment"
 	"github.com/wagtailtray/wagtailtray/internal/version/routing"
 	"github.com/wagtailtray/wagtailtray/pkg/clock"
 	"github.com/wagtailtray/wagtailtray/pkg/wire"
@@ -148,78 +147,6 @@
 	f.now = until
 }
 
-// simLink is the link of a process.
-type simLink struct {
-	fleet *simFleet
-	from  *simProcess
-}
-
-// Send delivers a parcel to another process, which handles one at a time.
-func (l simLink) Send(to netip.AddrPort, p *wire.Parcel) (int, error) {
-	f, from := l.fleet, l.from
-	size := p.SizeVT()
-	other := f.byAddress[to]
-	if f.measuring() {
-		from.sentBytes[p.Verb] += size
-		from.bursts[int(f.now/burstMicros)] += size
-	}
-	delay := remoteDelayMicros
-	if other != nil && other.domain == from.domain {
-		delay = localDelayMicros
-	} else if f.measuring() {
-		from.remoteBytes += size
-	}
-	from.busyUntil = max(from.busyUntil, f.now) + (cpuMicrosPerDatagram+cpuMicrosPerByte*float64(size))/from.share
-	if other == nil || f.cut != nil && f.cut(from, other) {
-		return size, nil
-	}
-	data, err := p.MarshalVT()
-	if err != nil {
-		return size, err
-	}
-	f.schedule(from.busyUntil-f.now+delay*(1+0.3*f.random.Float64()), func() { f.deliver(from.address, other, data) })
-	return size, nil
-}
-
-func (f *simFleet) deliver(from netip.AddrPort, to *simProcess, data []byte) {
-	if f.now < to.startAt {
-		return
-	}
-	if to.busyUntil-f.now > maxBacklogMicros {
-		to.dropped++
-		return
-	}
-	p := &wire.Parcel{}
-	if err := p.UnmarshalVT(data); err != nil {
-		f.t.Fatal(err)
-	}
-	if f.measuring() {
-		to.parcels++
-		to.bytes += len(data)
-		to.verbs[p.Verb]++
-	}
-	to.busyUntil = max(to.busyUntil, f.now) + (cpuMicrosPerDatagram+cpuMicrosPerByte*float64(len(data)))/to.share
-	to.maxDelay = max(to.maxDelay, to.busyUntil-f.now)
-	f.schedule(to.busyUntil-f.now, func() { f.handle(from, to, p) })
-}
-
-func (f *simFleet) handle(from netip.AddrPort, to *simProcess, p *wire.Parcel) {
-	now := f.syncClock(to)
-	if to.balancer != nil {
-		to.balancer.handleParcel(from, p, nil)
-		return
-	}
-	if to.reportBalancers == nil {
-		return
-	}
-	to.reportBalancers.RecordHeard(now, from)
-	if p.Verb == wire.Verb_VERB_PROBE {
-		to.reportBalancers.RecordProbe(now, from, p.Report.Domain)
-	}
-	to.tracker.HandleParcel(now, from, p, nil)
-	f.flush(to)
-}
-
 // syncClock sets the clock of a process to the time of the simulation.
 func (f *simFleet) syncClock(s *simProcess) clock.Millis {
 	at := testNow + clock.Millis(f.now/1000)
@@ -227,17 +154,6 @@
 	return at
 }
 
-func (f *simFleet) flush(s *simProcess) {
-	for _, send := range s.tracker.TakeOutcome().Sends {
-		_, _ = simLink{f, s}.Send(send.To, send.Parcel)
-	}
-}
-
-// WriteToUDPAddrPort discards what a balancer sends to a caller.
-func (s *simProcess) WriteToUDPAddrPort(packet []byte, _ netip.AddrPort) (int, error) {
-	return len(packet), nil
-}
-
 func (f *simFleet) add(s *simProcess) {
 	s.verbs, s.sentBytes, s.bursts, s.clock = map[wire.Verb]int{}, map[wire.Verb]int{}, map[int]int{}, &clock.Manual{}
 	f.byAddress[s.address] = s
@@ -289,80 +205,6 @@
 	return f
 }
 
-// unheard returns the number of running targets that a balancer has not heard from.
-func (f *simFleet) unheard(b *Balancer) int {
-	n := 0
-	for _, s := range f.processes {
-		if s.tracker == nil || f.byAddress[s.address] != s {
-			continue
-		}
-		if t, ok := b.steerer.Targets.Find(s.address); !ok || t.HeardAt == 0 {
-			n++
-		}
-	}
-	return n
-}
-
-// restart ends the process of a balancer and starts another one later.
-func (f *simFleet) restart(i int, size fleetSize, later float64) {
-	s := f.processes[i]
-	s.startAt, s.settledAfter, s.unheardTargets, s.balancer = f.now+later, 0, 0, nil
-	f.schedule(later, func() { f.startBalancer(s, i, size.balancers, f.table) })
-}
-
-// replaceBalancers ends all balancers. Others start at new addresses, which neither they nor
-// the agents know.
-func (f *simFleet) replaceBalancers(size fleetSize) {
-	f.strangers = true
-	for i := range size.balancers {
-		old := f.processes[i]
-		old.balancer = nil
-		delete(f.byAddress, old.address)
-		s := &simProcess{
-			address: peerAddress(1000 + i), domain: old.domain, share: old.share, startAt: f.now + 300_000*f.random.Float64(),
-			verbs: map[wire.Verb]int{}, sentBytes: map[wire.Verb]int{}, bursts: map[int]int{}, clock: &clock.Manual{},
-		}
-		s.registeredAt = s.startAt + f.registerMicros
-		f.processes[i], f.byAddress[s.address] = s, s
-		f.schedule(s.startAt-f.now, func() { f.startBalancer(s, i, size.balancers, f.table) })
-	}
-}
-
-// lose ends the VMs of agents for good.
-func (f *simFleet) lose(agents ...*simProcess) {
-	for _, s := range agents {
-		delete(f.byAddress, s.address)
-	}
-}
-
-// addUnlistedTarget starts an agent in a failure domain whose target the store does not list.
-func (f *simFleet) addUnlistedTarget(size fleetSize, domain int) {
-	s := &simProcess{
-		address: netip.MustParseAddrPort("10.2.0.1:7000"), domain: fmt.Sprint("d", domain), share: 0.24, startAt: f.now, unlisted: true,
-	}
-	f.add(s)
-	f.startAgent(s, len(f.processes), size.balancers)
-}
-
-// storeTargets stores the checkpoints of all agents.
-func (f *simFleet) storeTargets(size fleetSize) {
-	f.listed = map[string][]checkpoint.Entry{}
-	for _, s := range f.processes[size.balancers:] {
-		f.listed[s.domain] = append(f.listed[s.domain], checkpoint.Entry{Agent: s.address, Service: "one"})
-	}
-}
-
-// readLists gives a balancer the lists that it reads from the store.
-func (f *simFleet) readLists(now clock.Millis, b *Balancer) {
-	due := b.peers.dueLists(now, func(d string) bool { return b.steerer.Targets.Complete(now, d) })
-	if f.unlisted {
-		return
-	}
-	for _, d := range due {
-		b.learnListed(d, f.listed[d])
-	}
-}
-
 func (f *simFleet) startBalancer(s *simProcess, i, count int, table *routing.Table) {
 	f.syncClock(s)
 	b := newBalancer(Settings{
@@ -445,111 +287,3 @@
 	}
 	step()
 }
-
-// findPeers names a balancer all that are listed, as in the directory's current list.
-func (f *simFleet) findPeers(s *simProcess, b *Balancer) {
-	now := f.syncClock(s)
-	for _, p := range f.processes {
-		if p.tracker == nil && f.now >= p.registeredAt+lookupMicros {
-			b.peers.Learn(now, p.address, Peer{Name: p.address.String(), Domain: p.domain, CPUShare: uint32(1000 * p.share)})
-		}
-	}
-}
-
-// lookUp makes an agent look up balancers when that is due, as agents do. Stale lists name
-// those that the fleet started with.
-func (f *simFleet) lookUp(s *simProcess, lookups *streamagent.Lookups) {
-	if f.byAddress[s.address] != s {
-		return
-	}
-	due := lookups.Due(f.syncClock(s), s.reportBalancers)
-	delay := 0.0
-	if due != streamagent.NoLookup {
-		delay = lookupMicros
-	}
-	f.schedule(delay, func() {
-		now := f.syncClock(s)
-		for _, p := range f.processes {
-			listed := due == streamagent.CurrentLookup && f.now >= p.registeredAt
-			stale := due == streamagent.CheapLookup && p.domain == s.domain && p.registeredAt == 0
-			if p.tracker == nil && (listed || stale) {
-				s.reportBalancers.Learn(now, []netip.AddrPort{p.address}, p.domain)
-			}
-		}
-		pause := lookups.Delay(now, s.reportBalancers, due, true, f.random.Float64())
-		f.schedule(1000*float64(pause), func() { f.lookUp(s, lookups) })
-	})
-}
-
-// sendLostFlows simulates callers that send on lost flows, and retransmit after each pause,
-// to any balancer of their failure domain, within a second.
-func (f *simFleet) sendLostFlows(balancers, domains int) {
-	for i := range lostFlowsPerBalancer * balancers {
-		id := segment.Flow{Caller: peerAddress(10_000 + i), Listener: netip.MustParseAddrPort("198.18.0.1:443")}
-		to := f.byAddress[peerAddress(f.random.IntN(balancers/domains)*domains+i%domains)]
-		at := f.measureFrom + 400_000 + 1e6*f.random.Float64()
-		for _, pause := range []float64{0, 200_000, 600_000} {
-			f.schedule(at+pause, func() { f.deliverPacket(id, to) })
-		}
-	}
-}
-
-func (f *simFleet) deliverPacket(id segment.Flow, to *simProcess) {
-	if f.now < to.startAt {
-		return
-	}
-	if to.busyUntil-f.now > maxBacklogMicros {
-		to.dropped++
-		return
-	}
-	to.busyUntil = max(to.busyUntil, f.now) + cpuMicrosPerDatagram/to.share
-	f.schedule(to.busyUntil-f.now, func() {
-		seg := segment.Segment{Source: id.Caller, Destination: id.Listener, Flags: segment.Acks, Seq: 1, Ack: 9, Size: 100}
-		to.maxDelay = max(to.maxDelay, to.busyUntil-f.now)
-		b := to.balancer
-		b.steerer.HandlePacket(f.syncClock(to), &seg, []byte("packet"))
-		b.flush()
-	})
-}
-
-// fakeCodec replaces the platform's codec for packet headers.
-type fakeCodec struct{}
-
-func (fakeCodec) Decode([]byte) (segment.Segment, error) { return segment.Segment{}, nil }
-func (fakeCodec) Mark([]byte, uint32)                    {}
-func (fakeCodec) Reset(segment.Flow, uint32) []byte      { return nil }
-
-// processStats holds what balancers with a small share of a core received in the two
-// seconds after the restart, on average, and the maximum delays among them.
-type processStats struct {
-	parcels, bytes float64
-	// settled and maxDelay are in milliseconds. maxDelay is the longest queueing delay.
-	settled, maxDelay float64
-	dropped           int
-	verbs             map[wire.Verb]int
-}
-
-func (f *simFleet) smallBalancerStats() processStats {
-	a := processStats{verbs: map[wire.Verb]int{}}
-	count := 0
-	for _, s := range f.processes {
-		if s.balancer == nil || s.share > 0.1 {
-			continue
-		}
-		count++
-		a.parcels += float64(s.parcels)
-		a.bytes += float64(s.bytes)
-		a.dropped += s.dropped
-		a.settled = max(a.settled, s.settledAfter/1000)
-		a.maxDelay = max(a.maxDelay, s.maxDelay/1000)
-		for v, n := range s.verbs {
-			a.verbs[v] += n
-		}
-	}
-	a.parcels /= float64(count)
-	a.bytes /= float64(count)
-	for v := range a.verbs {
-		a.verbs[v] /= count
-	}
-	return a
-}
