Each part of the mends has a test that fails without it

One part was not needed and is gone: an agent whose target restarted asked a second time whether it has seen all openings, which its start already answers; so is a condition on entries that are removed later. The others have tests now, each seen to fail with its mutation: a restart heard late, the next target of an agent, rarely probed and never probed agents that are not listed (both guard calls to the store), packets after a target has kept the first, a new balancer that a settled one has confirmed, and the time of the first registration.

--- a/internal/connection/stream/heartbeat_test.go
+++ b/internal/connection/stream/heartbeat_test.go
@@ -76,6 +76,20 @@
 	}
 }
 
+// A target restarts beside an agent that runs on, and its first heartbeats are lost. The agent
+// has seen all openings since: it must not be unsure, or each search costs a packet.
+func TestRestartHeardLate(t *testing.T) {
+	tr := newAgentWithoutTarget()
+	tr.HandleHeartbeat(testNow, Heartbeat{Service: "one", Born: 500, Sequence: 9, Age: 11 * clock.Second, Slots: 4})
+	if got := tr.holding(testNow+10, callerFlow(1), 7); got != wire.Holding_HOLDING_UNSURE {
+		t.Fatalf("holding of an unseen flow before the restart: %v", got)
+	}
+	tr.HandleHeartbeat(testNow+9000, Heartbeat{Service: "one", Born: 2500, Sequence: 7, Age: 7800, Slots: 4})
+	if got := tr.holding(testNow+9010, callerFlow(1), 7); got != wire.Holding_HOLDING_NOT {
+		t.Errorf("holding of an unseen flow after the restart: %v", got)
+	}
+}
+
 // carryUnseenFlow passes a packet of a flow on whose opening the agent has not seen, and the
 // target answers it.
 func carryUnseenFlow(tr *Tracker, now clock.Millis, i int) {
--- a/internal/connection/stream/restore_test.go
+++ b/internal/connection/stream/restore_test.go
@@ -237,6 +237,24 @@
 	check("the target has left", sent+300, false)
 }
 
+// A target has left, so keepers remove its entry, and another one starts at its agent: that
+// one is not listed by what was stored before.
+func TestNextTargetIsUnlisted(t *testing.T) {
+	tr := newRestartedTracker()
+	tr.Restore(testNow, testWallClock, nil)
+	sendHeartbeat(tr, testNow, 900, 1)
+	tr.HandleParcel(testNow+10, testAddress(1, 0), &wire.Parcel{Verb: wire.Verb_VERB_PROBE, Report: &wire.Report{Keeper: true}}, nil)
+	tr.sendCheckpoint(testNow + 10)
+	tr.HandleParcel(testNow+20, testAddress(1, 0), &wire.Parcel{Verb: wire.Verb_VERB_KEPT, Checkpoint: &wire.Checkpoint{Number: 1}}, nil)
+	tr.RecordLeave(testNow + 100)
+	tr.Tick(testNow + 150)
+	sendHeartbeat(tr, testNow+2000, 2900, 1)
+	openFlow(tr, testNow+2010, 1)
+	if !tr.Unlisted(testNow + 2020) {
+		t.Error("counts as listed")
+	}
+}
+
 // An agent that was restarted has not seen the target's flows; until the store lists it again,
 // it must count as holding some.
 func TestRestartedAgentIsUnlisted(t *testing.T) {
--- a/internal/connection/stream/search_test.go
+++ b/internal/connection/stream/search_test.go
@@ -129,6 +129,11 @@
 		if got := countSends(s)[wire.Verb_VERB_CARRY][testAddress(2, 0)]; got != want {
 			t.Errorf("returned %v: %d packets were forwarded later, want %d", returned, got, want)
 		}
+		last := dataPacket(401)
+		s.HandlePacket(testNow+91, decode(last), last)
+		if got := countSends(s)[wire.Verb_VERB_CARRY][testAddress(2, 0)]; (got == 1) == returned {
+			t.Errorf("returned %v: %d copies of the next packet were forwarded at once", returned, got)
+		}
 	}
 }
 
--- a/internal/connection/stream/upstream.go
+++ b/internal/connection/stream/upstream.go
@@ -100,7 +100,7 @@
 	case b.Born != u.born:
 		born := now - b.minAge(tr.settings.Heartbeat)
 		tr.resetFlowsBefore(min(u.lastHeartbeat, born), "the target restarted")
-		tr.sawAllFlows = born > tr.startedAt || tr.sawAllOpenings(b)
+		tr.sawAllFlows = born > tr.startedAt
 		*u = upstream{}
 		tr.classLimiter = admission.ClassLimiter{}
 	}
--- a/internal/process/streamagent/unlisted_test.go
+++ b/internal/process/streamagent/unlisted_test.go
@@ -85,3 +85,35 @@
 		t.Error("counts as without a balancer of its failure domain")
 	}
 }
+
+// Balancers do not use the service of a target that is not listed, and probe it each five
+// seconds. Its agent must not look balancers up between two probes.
+func TestRarelyProbedUnlistedAgentDoesNotLookUp(t *testing.T) {
+	bs := newUnlistedBalancers(testNow)
+	const interval = 5 * clock.Second
+	bs.RecordProbe(testNow+interval, testBalancer(0), "a")
+	lookups := NewLookups()
+	if due := lookups.Due(testNow+2*interval, bs); due != NoLookup {
+		t.Errorf("lookup %d between two probes", due)
+	}
+	if left := bs.UntilAbandoned(testNow + 2*interval); left <= 0 {
+		t.Error("counts as abandoned between two probes")
+	}
+}
+
+// A whole fleet starts, and balancers probe their targets a little later than these start.
+// Agents that were never probed must read the cheap list, not the dear one of all failure
+// domains.
+func TestNewUnlistedAgentReadsCheapList(t *testing.T) {
+	bs := NewBalancers(testNow, "a")
+	bs.SetUnlisted(true)
+	lookups := NewLookups()
+	for now := testNow; now < testNow+localBalancerTimeout; now += 500 {
+		if due := lookups.Due(now, bs); due != CheapLookup {
+			t.Errorf("lookup %d after %d ms", due, now.Sub(testNow))
+		}
+	}
+	if due := lookups.Due(testNow+localBalancerTimeout, bs); due != CurrentLookup {
+		t.Errorf("lookup %d of an abandoned agent", due)
+	}
+}
--- a/internal/process/streambalancer/register.go
+++ b/internal/process/streambalancer/register.go
@@ -201,16 +201,16 @@
 	return true
 }
 
-// setUnlisted records that the directory does not list this balancer. An entry that is removed
-// later changes nothing: agents know a balancer that has run.
+// setUnlisted records that the directory does not list this balancer.
 func (b *Balancer) setUnlisted() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.peers.unlisted = b.peers.unlisted || b.peers.registeredAt == 0
+	b.peers.unlisted = true
 }
 
-// setRegistered records that the directory lists this balancer. The reply to the write may
-// have been lost, so the time is that of the first proof.
+// setRegistered records that the directory lists this balancer. The time is that of the first
+// proof: the reply to a write may have been lost, and an entry that is removed later and
+// written again changes nothing, since agents know a balancer that has run.
 func (b *Balancer) setRegistered() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/process/streambalancer/registered_test.go
+++ b/internal/process/streambalancer/registered_test.go
@@ -65,20 +65,39 @@
 	}
 }
 
-// A balancer that has run for long was removed from the directory during a partition, and the
-// store does not answer its write. It is known to the agents, and must stay settled.
+// Balancers that have run for long, whether the directory listed them at their start or not,
+// were removed from it during a partition, and the store does not answer the first write.
+// They are known to the agents, and must stay settled.
 func TestRemovedEntryLeavesBalancerSettled(t *testing.T) {
-	store := &lossyDirectory{}
-	former := newRegisteringBalancer(store)
-	former.tryRegister(t.Context(), former.deps.Directory.Entries)
-	b := newRegisteringBalancer(store)
-	b.tryRegister(t.Context(), b.deps.Directory.Entries)
-	store.items, store.lostReplies = nil, 1
-	b.deps.Clock.(*clock.Manual).Advance(clock.Minute)
-	if b.tryRegister(t.Context(), b.deps.Directory.CurrentEntries) {
-		t.Fatal("the registration did not fail")
+	for _, isNew := range []bool{false, true} {
+		store := &lossyDirectory{}
+		if !isNew {
+			former := newRegisteringBalancer(store)
+			former.tryRegister(t.Context(), former.deps.Directory.Entries)
+		}
+		b := newRegisteringBalancer(store)
+		b.tryRegister(t.Context(), b.deps.Directory.Entries)
+		store.items, store.lostReplies = nil, 1
+		b.deps.Clock.(*clock.Manual).Advance(clock.Minute)
+		for attempt, want := range []bool{false, true} {
+			if got := b.tryRegister(t.Context(), b.deps.Directory.CurrentEntries); got != want {
+				t.Fatalf("new %v, attempt %d: registered %v", isNew, attempt, got)
+			}
+			if got := b.peers.discoverableFor(testNow + clock.Minute); got != clock.Minute {
+				t.Errorf("new %v, attempt %d: counts as discoverable for %d ms, want %d", isNew, attempt, got, clock.Minute)
+			}
+		}
 	}
-	if got := b.peers.discoverableFor(testNow + clock.Minute); got != clock.Minute {
-		t.Errorf("counts as discoverable for %d ms, want %d", got, clock.Minute)
+}
+
+// A settled balancer has sent a new one all targets: that one must be settled soon, although
+// the store does not answer its registration.
+func TestConfirmedNewBalancerDoesNotWaitForDirectory(t *testing.T) {
+	ps := NewPeers(testNow, testPeer(1), nil)
+	ps.unlisted, ps.confirmed = true, true
+	at := testNow + confirmedStartDelay
+	ps.Settled(at-settleTime, 5, allDomainsComplete)
+	if !ps.Settled(at+1, 5, allDomainsComplete) {
+		t.Error("not settled")
 	}
 }
