Sender keeps one time of the stored entry instead of two

When an entry is sent again, and whether the store lists the target, follow from the age of the stored one. Entries of targets without flows are renewed 30 s after the last one, whatever made it be sent, and not in fixed windows.

--- a/internal/connection/checkpoint/sender.go
+++ b/internal/connection/checkpoint/sender.go
@@ -19,8 +19,8 @@
 	maxAckLag = 30_000
 	// flowsPerPart limits a part to one frame.
 	flowsPerPart = 80
-	// listedTTL is how long a target counts as listed without a new entry: keepers remove
-	// entries after maxClockSkew and the lifetime of a flow.
+	// listedTTL is the age of the stored entry after which a new one is sent, also of a target
+	// without flows: keepers remove entries after maxClockSkew and the lifetime of a flow.
 	listedTTL = 30 * clock.Second
 )
 
@@ -30,16 +30,13 @@
 	// store.
 	storedBorn uint64
 	storedAcks map[segment.Flow]uint32
-	// listed is set if the store has an entry of the target that was written after listedAt.
+	// listed is set if the store has an entry of the target, which was sent at storedAt.
 	listed   bool
-	listedAt clock.Millis
+	storedAt clock.Millis
 	// sent is the entry that was sent last, with its number and the time.
 	sent   Entry
 	sentAt clock.Millis
 	number uint32
-	// storedAt is when the last entry that is known to be in the store was sent; zero if
-	// none is.
-	storedAt clock.Millis
 	// checkedAt is when the entry was last checked, and nextDue when it is due again.
 	checkedAt    clock.Millis
 	nextDue      clock.Millis
@@ -57,28 +54,25 @@
 		return false
 	}
 	s.nextDue, s.checkedAt = now+s.sendInterval, now
-	if now.Sub(s.listedAt) > listedTTL {
-		s.listed, s.listedAt = false, now
-	}
 	return true
 }
 
 // Forget records that the target has left, and that keepers remove its entry.
 func (s *Sender) Forget() {
-	s.listed, s.storedAt = false, 0
+	s.listed = false
 }
 
 // Listed reports whether the store surely lists the target. ttl is how long keepers retain
 // an entry.
 func (s *Sender) Listed(now, ttl clock.Millis) bool {
-	return s.storedAt != 0 && now.Sub(s.storedAt) <= ttl
+	return s.listed && now.Sub(s.storedAt) <= ttl
 }
 
 // NeedsSend reports whether an entry is to be sent. A flow that has ended is no reason
 // to send it: resetting that flow does no harm. A target without flows is sent as well:
 // balancers that replace all others take from the store which targets there are.
 func (s *Sender) NeedsSend(e *Entry) bool {
-	if !s.listed || len(e.Flows) > 0 && e.Born != s.storedBorn {
+	if !s.Listed(s.checkedAt, listedTTL) || len(e.Flows) > 0 && e.Born != s.storedBorn {
 		return true
 	}
 	for f := range e.Flows.All() {
