Reports of an agent without local balancers grow with those that get them

Callers would see: busy balancers in a large fleet when a failure domain loses all of its own.

Cause: a busy target reports to the balancers of its failure domain up to every 150 ms, and less often the more there are of these. Without any, all known balancers are sent reports, and the interval still went by the number of local ones.

Change: the interval goes by the number of balancers that are sent reports. With few balancers nothing changes.

--- a/internal/process/streamagent/balancers.go
+++ b/internal/process/streamagent/balancers.go
@@ -9,11 +9,11 @@
 )
 
 const (
-	// loadedReportInterval is the minimum interval of reports to balancers of the agent's
-	// own failure domain while the target's slots are in use, and maxLoadedReportRate the
-	// number of these reports per second to all of them. startupReportInterval is the
-	// interval, during startupPeriod, for balancers there that were never heard from.
-	// Otherwise it is stream.ReportInterval.
+	// loadedReportInterval is the minimum interval of reports to a balancer while the
+	// target's slots are in use, and maxLoadedReportRate the number of these reports per
+	// second to all of them, unless each gets one in stream.ReportInterval, which is the
+	// interval otherwise. startupReportInterval is the one, during startupPeriod, for
+	// balancers of the agent's own failure domain that were never heard from.
 	loadedReportInterval  = 150 * clock.Millis(1)
 	maxLoadedReportRate   = 120
 	startupReportInterval = 50 * clock.Millis(1)
@@ -66,8 +66,10 @@
 	domain    string
 	startedAt clock.Millis
 	known     map[netip.AddrPort]*balancer
-	// local is the number of balancers of the agent's own failure domain.
-	local int
+	// local is the number of balancers of the agent's own failure domain, and receivers that
+	// of those that are sent reports.
+	local     int
+	receivers int
 	// lastProbe is the time of the last probe from any balancer, and lastLocalProbe from
 	// one of the agent's own failure domain; zero if there was none.
 	lastProbe      clock.Millis
@@ -203,21 +205,25 @@
 	return patience - now.Sub(max(bs.lastProbe, bs.startedAt))
 }
 
-// loadedInterval returns the interval of reports to balancers of the agent's own failure
-// domain while the target's slots are in use.
+// loadedInterval returns the interval of reports while the target's slots are in use.
 func (bs *Balancers) loadedInterval() clock.Millis {
-	interval := clock.Millis(bs.local) * clock.Second / maxLoadedReportRate
+	interval := clock.Millis(bs.receivers) * clock.Second / maxLoadedReportRate
 	return min(max(interval, loadedReportInterval), stream.ReportInterval)
 }
 
-// countLocal counts the balancers of the agent's own failure domain.
-func (bs *Balancers) countLocal() {
+// countReceivers counts the balancers of the agent's own failure domain, and those that are
+// sent reports: all if none of that domain probes.
+func (bs *Balancers) countReceivers(now clock.Millis) {
 	bs.local = 0
 	for _, b := range bs.known {
 		if b.domain == bs.domain {
 			bs.local++
 		}
 	}
+	bs.receivers = bs.local
+	if bs.NoLocalBalancer(now) {
+		bs.receivers = len(bs.known)
+	}
 }
 
 // reportInterval returns the interval of unsolicited reports to a balancer, and whether
@@ -248,7 +254,7 @@
 // DueForReport returns the balancers to send a report now, and marks them as reported to.
 func (bs *Balancers) DueForReport(now clock.Millis, loaded bool) []netip.AddrPort {
 	bs.removeSilent(now)
-	bs.countLocal()
+	bs.countReceivers(now)
 	var due []netip.AddrPort
 	for at, b := range bs.known {
 		interval, ok := bs.reportInterval(now, b, loaded)
--- a/internal/process/streamagent/unlisted_test.go
+++ b/internal/process/streamagent/unlisted_test.go
@@ -10,11 +10,11 @@
 
 // newUnlistedBalancers returns the state of an agent whose target is not listed by the store.
 // A balancer of its failure domain has probed it until now.
-func newUnlistedBalancers(now clock.Millis) *Balancers {
-	bs := NewBalancers(now-clock.Minute, "a")
+func newUnlistedBalancers() *Balancers {
+	bs := NewBalancers(testNow-clock.Minute, "a")
 	bs.SetUnlisted(true)
-	bs.RecordHeard(now, testBalancer(0))
-	for _, at := range []clock.Millis{now - 200, now} {
+	bs.RecordHeard(testNow, testBalancer(0))
+	for _, at := range []clock.Millis{testNow - 200, testNow} {
 		bs.RecordProbe(at, testBalancer(0), "a")
 	}
 	return bs
@@ -25,7 +25,7 @@
 func TestUnlistedAgentReportsInTime(t *testing.T) {
 	for phase := clock.Millis(0); phase < unlistedCheckInterval; phase += 50 {
 		for _, random := range []float64{0, 0.5, 1} {
-			bs, lookups := newUnlistedBalancers(testNow), NewLookups()
+			bs, lookups := newUnlistedBalancers(), NewLookups()
 			nextLookup, learnAt, reportedAt := testNow+phase, clock.Millis(0), clock.Millis(0)
 			for now := testNow; reportedAt == 0 && now < testNow+clock.Minute; now += 50 {
 				if learnAt != 0 && now >= learnAt {
@@ -56,7 +56,7 @@
 // Nobody probes the target for longer, and balancers come only then: its agent must go on
 // looking for them at short intervals, and report to each soon after it is in the directory.
 func TestUnlistedAgentKeepsLookingUp(t *testing.T) {
-	bs, lookups := newUnlistedBalancers(testNow), NewLookups()
+	bs, lookups := newUnlistedBalancers(), NewLookups()
 	for now := testNow + 2*clock.Second; now < testNow+30*clock.Second; {
 		due := lookups.Due(now, bs)
 		if due != CurrentLookup {
@@ -73,7 +73,7 @@
 // The store lists the target: its agent must not look balancers up, which is billed, as soon
 // as some probes are missing.
 func TestListedAgentWaitsForProbes(t *testing.T) {
-	bs := newUnlistedBalancers(testNow)
+	bs := newUnlistedBalancers()
 	if !bs.SetUnlisted(false) {
 		t.Error("no change")
 	}
@@ -89,7 +89,7 @@
 // Balancers do not use the service of a target that is not listed, and probe it each five
 // seconds. Its agent must not look balancers up between two probes.
 func TestRarelyProbedUnlistedAgentDoesNotLookUp(t *testing.T) {
-	bs := newUnlistedBalancers(testNow)
+	bs := newUnlistedBalancers()
 	const interval = 5 * clock.Second
 	bs.RecordProbe(testNow+interval, testBalancer(0), "a")
 	lookups := NewLookups()
@@ -117,3 +117,29 @@
 		t.Errorf("lookup %d of an abandoned agent", due)
 	}
 }
+
+// A failure domain of a large fleet has lost all its balancers, and its targets are busy. Each
+// agent must not send hundreds of balancers elsewhere the many reports that a few local ones
+// get.
+func TestReportsWithoutLocalBalancersAreBounded(t *testing.T) {
+	const remote = 300
+	for _, unlisted := range []bool{false, true} {
+		bs := newUnlistedBalancers()
+		bs.SetUnlisted(unlisted)
+		var others []netip.AddrPort
+		for i := range remote {
+			others = append(others, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(1 + i>>8), byte(i)}), 7000))
+		}
+		bs.Learn(testNow, others, "b")
+		reports := 0
+		from := testNow + localBalancerTimeout + 2*clock.Second
+		for now := testNow + localBalancerTimeout + 1; now < from+clock.Second; now += 50 {
+			if n := len(bs.DueForReport(now, true)); now >= from {
+				reports += n
+			}
+		}
+		if reports < remote || reports > remote*3/2 {
+			t.Errorf("unlisted %v: %d reports in a second to %d balancers", unlisted, reports, remote)
+		}
+	}
+}
